--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
+SOURCES := $(wildcard packages/*/pyproject.toml) constraints.txt
+
+.PHONY: test demo prove measure bench format
+
+$(VENV)/.installed: $(SOURCES)
+	$(PYTHON) -m venv $(VENV)
+	PIP_CONSTRAINT=$(CURDIR)/constraints.txt $(BIN)/pip install --quiet --disable-pip-version-check \
+		$(foreach package,$(PACKAGES),-e packages/$(package)) \
+		hypothesis mypy pytest pytest-asyncio ruff types-docopt
+	touch $@
+
+test: $(VENV)/.installed
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/mypy packages/*/src
+	$(BIN)/python -m pytest
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m heathertack_fakes.demo --bin $(BIN)
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,21 @@
+"""Profiles of hypothesis: the same verdict on every run, or a longer search."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+settings.register_profile(
+    "prove",
+    parent=settings.get_profile("ci"),
+    derandomize=False,
+    max_examples=int(os.environ.get("PROVE_COUNT", "500")),
+    print_blob=True,
+)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/packages/heathertack-cli/src/heathertack_cli/_local.py
@@ -0,0 +1,132 @@
+"""Commands that need no instance."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import secrets
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import zmq
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from returns.result import Failure, Result, Success
+
+from heathertack.bundle import Bundle, compare_bundles, parse_bundle, sign_bundle
+from heathertack.schema import SchemaError
+from heathertack.settings import parse_settings
+from heathertack_cli._usage import ExitCode
+
+_CALLER_KEY_BYTES = 24
+
+
+class CommandOutput:
+    """What a command prints, and its exit code."""
+
+    def __init__(
+        self, code: ExitCode, document: Any = None, error: str = "", text: str = ""
+    ) -> None:
+        self.code = code
+        self.document = document
+        self.error = error
+        self.text = text
+
+
+def read_file(path: str) -> Result[str, SchemaError]:
+    """Return the text of a file, or why it can't be read."""
+    try:
+        return Success(Path(path).read_text())
+    except OSError as error:
+        found = error.strerror or "an unreadable file"
+        return Failure(SchemaError(path, "$", found, "a readable file"))
+
+
+def read_bundle(path: str) -> Result[Bundle, SchemaError]:
+    """Return the bundle in a file, or what is wrong with it."""
+    return read_file(path).bind(lambda text: parse_bundle(path, text))
+
+
+def make_keys(options: dict[str, Any]) -> CommandOutput:
+    """Make a pair of keys for an operator or instance, or a caller key."""
+    if options["operator"]:
+        private = Ed25519PrivateKey.generate()
+        document = {
+            "secret_key": base64.b64encode(private.private_bytes_raw()).decode(),
+            "public_key": base64.b64encode(
+                private.public_key().public_bytes_raw()
+            ).decode(),
+        }
+    elif options["instance"]:
+        public, secret = zmq.curve_keypair()
+        document = {"secret_key": secret.decode(), "public_key": public.decode()}
+    else:
+        key = secrets.token_urlsafe(_CALLER_KEY_BYTES)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        document = {"caller_key": key, "key_sha256": digest}
+    text = "\n".join(f"{name}: {value}" for name, value in document.items())
+    return CommandOutput(ExitCode.DONE, document, text=text)
+
+
+def check_settings(options: dict[str, Any]) -> CommandOutput:
+    """Check a settings file."""
+    path = options["FILE"]
+    text = read_file(path)
+    if isinstance(text, Failure):
+        return _fail(text.failure())
+    return _check(parse_settings(path, text.unwrap()))
+
+
+def check_bundle(options: dict[str, Any]) -> CommandOutput:
+    """Check a bundle."""
+    return _check(read_bundle(options["FILE"]))
+
+
+def sign_file(options: dict[str, Any]) -> CommandOutput:
+    """Check and sign a bundle."""
+    needed = ("--operator", "--key", "--output")
+    missing = [name for name in needed if not options[name]]
+    if missing:
+        message = f"the command needs {', '.join(missing)}"
+        return CommandOutput(ExitCode.INVALID_INPUT, error=message)
+    path = options["FILE"]
+    text = read_file(path)
+    key = read_file(options["--key"])
+    for result in (text, read_bundle(path), key):
+        if isinstance(result, Failure):
+            return _fail(result.failure())
+    signed = sign_bundle(text.unwrap(), options["--operator"], key.unwrap().strip())
+    output = Path(options["--output"])
+    try:
+        output.write_bytes(msgspec.json.encode(signed._asdict()))
+    except OSError as error:
+        message = f"{output}: {error.strerror}"
+        return CommandOutput(ExitCode.INVALID_INPUT, error=message)
+    return CommandOutput(ExitCode.DONE, text=f"signed bundle written to {output}")
+
+
+def compare_files(options: dict[str, Any]) -> CommandOutput:
+    """Print what differs between two bundles."""
+    bundles = []
+    for path in (options["OLD"], options["NEW"]):
+        result = read_bundle(path)
+        if isinstance(result, Failure):
+            return _fail(result.failure())
+        bundles.append(result.unwrap())
+    changes = compare_bundles(bundles[0], bundles[1])
+    lines = [
+        f"$.{'.'.join(change.path)}: {change.before!r} -> {change.after!r}"
+        for change in changes
+    ]
+    document = [change._asdict() for change in changes]
+    return CommandOutput(ExitCode.DONE, document, text="\n".join(lines))
+
+
+def _fail(error: SchemaError) -> CommandOutput:
+    return CommandOutput(ExitCode.INVALID_INPUT, error=str(error))
+
+
+def _check(result: Result[Any, SchemaError]) -> CommandOutput:
+    if isinstance(result, Failure):
+        return _fail(result.failure())
+    return CommandOutput(ExitCode.DONE, {"valid": True}, text="valid")
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that heathertack serves, and experiments on them."""
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_engine_server.py
@@ -0,0 +1,231 @@
+"""The stand-in engine behind HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import msgspec
+from aiohttp import web
+
+from heathertack.policy import digest_prefixes
+from heathertack_fakes._engine_model import (
+    EngineModel,
+    EngineRequest,
+    EngineSize,
+    EngineSpeed,
+    TokenMade,
+)
+
+_LENGTH_MARK = re.compile(r"\[\[length=(\d+)\]\]")
+_CRASH_MARK = re.compile(r"\[\[crash(?:=(\d+))?\]\]")
+_DEFAULT_LENGTH = 24
+_IDLE_SECONDS = 0.005
+_CHARACTERS_PER_TOKEN = 4
+
+
+class EngineFaults(NamedTuple):
+    """Faults that a test switches on."""
+
+    #: Streams send nothing, although the generation goes on.
+    stalls_streams: bool = False
+    #: Events are sent twice and with those of other generations between them.
+    mixes_events: bool = False
+    #: Every nth event is left out; 0 for none.
+    omits_every: int = 0
+
+
+class _Generation:
+    """Tokens of one generation, kept for resuming."""
+
+    def __init__(self, crash_at: int | None) -> None:
+        self.tokens: list[str] = []
+        self.is_ended = False
+        self.crash_at = crash_at
+        self.changed = asyncio.Event()
+
+    def add(self, token: TokenMade) -> None:
+        """Store a token and wake the streams."""
+        self.tokens.append(f"t{token.offset} ")
+        self.is_ended = token.is_last
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+class EngineServer:
+    """One engine that makes as many tokens as a mark in the prompt says.
+
+    ``[[length=N]]`` in a prompt sets the length of the answer, and
+    ``[[crash=N]]`` ends the process at the Nth token.
+
+    Parameters
+    ----------
+    size : EngineSize
+        Bounds of the engine.
+    speed : EngineSpeed
+        Costs of its steps.
+    """
+
+    def __init__(self, size: EngineSize, speed: EngineSpeed) -> None:
+        self._model = EngineModel(size, speed)
+        self._generations: dict[str, _Generation] = {}
+        self._faults = EngineFaults()
+        self._report = 0
+        self._cache_events: list[tuple[int, tuple[int, ...], tuple[int, ...]]] = []
+        self._orders: list[dict[str, Any]] = []
+        self._fencing_number = 0
+        self._checks_fencing = True
+        self._cancelled: list[str] = []
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_get("/v1/generations/{id}", self._resume)
+        app.router.add_delete("/v1/generations/{id}", self._cancel)
+        app.router.add_get("/load", self._give_load)
+        app.router.add_get("/cache_events", self._give_cache_events)
+        app.router.add_post("/orders", self._take_order)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/seen", self._give_seen)
+        app.cleanup_ctx.append(self._run_model)
+        return app
+
+    async def _run_model(self, app: web.Application) -> AsyncIterator[None]:
+        del app
+        task = asyncio.create_task(self._step_forever())
+        yield
+        task.cancel()
+
+    async def _step_forever(self) -> None:
+        while True:
+            if self._model.is_idle:
+                await asyncio.sleep(_IDLE_SECONDS)
+                continue
+            await asyncio.sleep(self._model.start_step())
+            for token in self._model.finish_step():
+                generation = self._generations[token.generation_id]
+                if generation.crash_at == token.offset:
+                    os._exit(1)
+                generation.add(token)
+            for change in self._model.take_prefix_changes():
+                number = len(self._cache_events) + 1
+                self._cache_events.append((number, change.stored, change.evicted))
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        body = msgspec.json.decode(await request.read())
+        prompt = _prompt_of(body)
+        length = _LENGTH_MARK.search(prompt)
+        crash = _CRASH_MARK.search(prompt)
+        wanted = int(length.group(1)) if length else _DEFAULT_LENGTH
+        generation_id = body["id"]
+        crash_at = int(crash.group(1) or 0) if crash else None
+        self._generations[generation_id] = _Generation(crash_at)
+        self._model.submit(
+            EngineRequest(
+                generation_id,
+                len(prompt) // _CHARACTERS_PER_TOKEN + 1,
+                min(wanted, body.get("max_tokens") or wanted),
+                body.get("priority", 0),
+                digest_prefixes(prompt),
+            )
+        )
+        return await self._stream(request, generation_id, 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        generation_id = request.match_info["id"]
+        if generation_id not in self._generations:
+            return web.json_response({"error": "unknown generation"}, status=404)
+        return await self._stream(request, generation_id, int(request.query["from"]))
+
+    async def _stream(
+        self, request: web.Request, generation_id: str, offset: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        generation = self._generations[generation_id]
+        while True:
+            changed = generation.changed
+            while offset < len(generation.tokens) and not self._faults.stalls_streams:
+                text = generation.tokens[offset]
+                await self._write_token(response, generation_id, offset, text)
+                offset += 1
+            if generation.is_ended and offset == len(generation.tokens):
+                break
+            await changed.wait()
+            if self._faults.stalls_streams:
+                await asyncio.sleep(_IDLE_SECONDS)
+        end = {"id": generation_id, "offset": offset, "finish_reason": "stop"}
+        await response.write(_encode_event(end) + b"data: [DONE]\n\n")
+        return response
+
+    async def _write_token(
+        self, response: web.StreamResponse, generation_id: str, offset: int, text: str
+    ) -> None:
+        event = _encode_event({"id": generation_id, "offset": offset, "text": text})
+        omits = self._faults.omits_every
+        if omits and offset % omits == omits - 1:
+            self._faults = self._faults._replace(omits_every=0)
+            return
+        if self._faults.mixes_events:
+            foreign = {"id": "foreign.1", "offset": offset, "text": "FOREIGN "}
+            event = event + _encode_event(foreign) + event
+        await response.write(event)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        generation_id = request.match_info["id"]
+        self._model.cancel(generation_id)
+        self._cancelled.append(generation_id)
+        return web.json_response({"cancelled": generation_id})
+
+    async def _give_load(self, request: web.Request) -> web.Response:
+        del request
+        self._report += 1
+        return web.json_response(
+            {
+                "sequence": self._report,
+                "running": self._model.running,
+                "waiting": self._model.waiting,
+                "cache_tokens": self._model.cache_tokens,
+                "cache_capacity": self._model.cache_capacity,
+                "preemptions": self._model.preemptions,
+                "fencing_number": self._fencing_number,
+            }
+        )
+
+    async def _give_cache_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        events = [event for event in self._cache_events if event[0] > after]
+        return web.json_response({"events": events})
+
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if self._checks_fencing and order["fencing_number"] < self._fencing_number:
+            return web.json_response({"error": "old fencing number"}, status=409)
+        self._fencing_number = max(self._fencing_number, order["fencing_number"])
+        self._orders.append(order)
+        return web.json_response({"accepted": True})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self._faults = EngineFaults(**await request.json())
+        return web.json_response({"done": True})
+
+    async def _give_seen(self, request: web.Request) -> web.Response:
+        del request
+        seen = {"generations": list(self._generations), "cancelled": self._cancelled}
+        return web.json_response(seen)
+
+
+def _prompt_of(body: dict[str, Any]) -> str:
+    if "prompt" in body:
+        prompt: str = body["prompt"]
+        return prompt
+    return "\n".join(f"{m['role']}: {m['content']}" for m in body["messages"])
+
+
+def _encode_event(event: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -0,0 +1,365 @@
+"""A small system of real processes on loopback, for the demo and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+import zmq
+
+from heathertack_fakes._keys import OperatorKeys, make_operator_keys, sha256_hex
+
+HOST = "127.0.0.1"
+CALLER_KEY = "demo-caller-key"
+SMALL_CALLER_KEY = "demo-small-caller-key"
+_START_SECONDS = 30.0
+_STOP_SECONDS = 20.0
+_STEP_SECONDS = 0.05
+
+
+class SystemShape(NamedTuple):
+    """How many processes a local system has."""
+
+    daemons: int = 3
+    #: Daemons with a data folder, counted from the first one.
+    control: int = 1
+    engines: int = 1
+    plain: int = 1
+    engine_cache: int = 60_000
+    engine_step: float = 0.01
+    #: How long callers may keep an answer about addresses, seconds.
+    address_ttl: float = 0.5
+
+
+class StartFailedError(Exception):
+    """A process of the local system did not come up."""
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on at present."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def build_bundle(version: int, **services: dict[str, Any]) -> dict[str, Any]:
+    """Return the bundle of the local system."""
+    return {
+        "version": version,
+        "services": {
+            "tutor-model": {
+                "kind": "generation",
+                "model": "tutor",
+                "max_output_tokens": 4000,
+            },
+            "studio-portal": {
+                "kind": "plain",
+                "routes": [
+                    {"method": "POST", "path": "/bookings", "idempotent": False},
+                    {"method": "GET", "path": "/schedule", "idempotent": True},
+                ],
+            },
+            **services,
+        },
+        "classes": {"critique": 1, "note": 2},
+        "accounts": {
+            "evening-school": {
+                "key_sha256": sha256_hex(CALLER_KEY),
+                "share": 2.0,
+                "max_in_progress": 500,
+                "default_class": "critique",
+            },
+            "small-school": {
+                "key_sha256": sha256_hex(SMALL_CALLER_KEY),
+                "share": 1.0,
+                "max_in_progress": 2,
+                "default_class": "note",
+            },
+        },
+    }
+
+
+class LocalSystem:
+    """Processes of one system with its stand-ins.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, data and logs.
+    binaries : Path
+        Folder of the installed binaries.
+    shape : SystemShape
+        Numbers of processes.
+    """
+
+    def __init__(self, folder: Path, binaries: Path, shape: SystemShape) -> None:
+        self._folder = folder
+        self._binaries = binaries
+        self._shape = shape
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.names = [f"entry-{number + 1}" for number in range(shape.daemons)]
+        ports = iter(
+            find_free_ports(2 * shape.daemons + shape.engines + shape.plain + 1)
+        )
+        self.http_ports = {name: next(ports) for name in self.names}
+        self._peer_ports = {name: next(ports) for name in self.names}
+        self.engine_ports = [next(ports) for _ in range(shape.engines)]
+        self.plain_ports = [next(ports) for _ in range(shape.plain)]
+        self.platform_port = next(ports)
+        self.operator: OperatorKeys = make_operator_keys("asha")
+
+    @property
+    def folder(self) -> Path:
+        """Folder for settings, data and logs."""
+        return self._folder
+
+    @property
+    def key_file(self) -> Path:
+        """File with the operator's secret key."""
+        return self._folder / "operator.key"
+
+    @property
+    def running(self) -> tuple[str, ...]:
+        """Names of the processes that run."""
+        items = self._processes.items()
+        return tuple(name for name, process in items if process.poll() is None)
+
+    def write_files(self) -> None:
+        """Write settings, keys and the platform's list."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self.key_file.write_text(self.operator.secret_key)
+        keys = {name: zmq.curve_keypair() for name in self.names}
+        for name in self.names:
+            settings = self._build_settings(name, keys)
+            text = f"// Settings of {name}.\n{json.dumps(settings, indent=2)}\n"
+            self.settings_file(name).write_text(text)
+        listed = json.dumps(self.list_targets())
+        (self._folder / "platform.json").write_text(listed)
+
+    def settings_file(self, name: str) -> Path:
+        """Return the settings file of a daemon."""
+        return self._folder / f"{name}.jsonc"
+
+    def data_folder(self, name: str) -> Path:
+        """Return the data folder of a daemon."""
+        return self._folder / f"data-{name}"
+
+    def list_targets(self) -> list[dict[str, Any]]:
+        """Return the platform's list with every target live."""
+        engines = [
+            _describe(f"engine-{i + 1}", "tutor-model", port, self._shape.engine_cache)
+            for i, port in enumerate(self.engine_ports)
+        ]
+        plain = [
+            _describe(f"portal-{i + 1}", "studio-portal", port, 0)
+            for i, port in enumerate(self.plain_ports)
+        ]
+        return engines + plain
+
+    async def start(self) -> None:
+        """Start everything and wait until each process answers.
+
+        Raises
+        ------
+        StartFailedError
+            If a process does not come up in time.
+        """
+        self.write_files()
+        self.start_fake("platform", self.platform_port, "platform.json")
+        for number, port in enumerate(self.engine_ports):
+            self.start_engine(number, port)
+        for number, port in enumerate(self.plain_ports):
+            self.start_fake("plain", port, name=f"portal-{number + 1}")
+        first = self.names[0]
+        self.run_binary("heathertackd", "form", str(self.settings_file(first)))
+        for name in self.names:
+            self.start_daemon(name)
+        await self.wait_for_http()
+
+    def start_engine(self, number: int, port: int) -> None:
+        """Start an engine."""
+        options = [
+            f"--cache={self._shape.engine_cache}",
+            f"--step={self._shape.engine_step}",
+        ]
+        self.start_fake("engine", port, *options, name=f"engine-{number + 1}")
+
+    def start_fake(self, kind: str, port: int, *options: str, name: str = "") -> None:
+        """Start a stand-in."""
+        module = [sys.executable, "-m", "heathertack_fakes.serve"]
+        self._start(name or kind, [*module, kind, str(port), *options])
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon."""
+        binary = str(self._binaries / "heathertackd")
+        self._start(name, [binary, "run", str(self.settings_file(name))])
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this system started."""
+        self._processes[name].send_signal(number)
+
+    async def wait_for_exit(self, name: str, timeout: float) -> int | None:
+        """Return the exit code of a process, ``None`` if it goes on running."""
+        deadline = time.monotonic() + timeout
+        process = self._processes[name]
+        while process.poll() is None and time.monotonic() < deadline:
+            await asyncio.sleep(_STEP_SECONDS)
+        return process.poll()
+
+    def run_binary(
+        self, binary: str, *arguments: str
+    ) -> subprocess.CompletedProcess[str]:
+        """Run a binary to its end."""
+        command = [str(self._binaries / binary), *arguments]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=60, check=False
+        )
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' client against the first daemon that runs."""
+        running = [name for name in self.names if name in self.running]
+        return self.run_binary(
+            "heathertack",
+            *arguments,
+            f"--server={HOST}:{self.http_ports[running[0]]}",
+            f"--operator={self.operator.name}",
+            f"--key={self.key_file}",
+        )
+
+    def apply_bundle(self, bundle: dict[str, Any]) -> subprocess.CompletedProcess[str]:
+        """Sign and apply a bundle."""
+        plain = self._folder / f"bundle-{bundle['version']}.jsonc"
+        signed = plain.with_suffix(".signed.json")
+        plain.write_text(json.dumps(bundle, indent=2))
+        self.run_binary(
+            "heathertack",
+            "bundle",
+            "sign",
+            str(plain),
+            f"--operator={self.operator.name}",
+            f"--key={self.key_file}",
+            f"--output={signed}",
+        )
+        return self.operate("bundle", "apply", str(signed))
+
+    async def wait_for_http(self) -> None:
+        """Wait until every process that runs answers HTTP."""
+        ports = [self.platform_port, *self.engine_ports, *self.plain_ports]
+        ports += [self.http_ports[name] for name in self.names if name in self.running]
+        await asyncio.gather(*(_wait_for_port(port) for port in ports))
+
+    async def wait_until_ready(self, names: Sequence[str] | None = None) -> None:
+        """Wait until daemons have a confirmed bundle.
+
+        Raises
+        ------
+        StartFailedError
+            If one of them does not in time.
+        """
+        async with aiohttp.ClientSession() as session:
+            for name in names or self.names:
+                url = f"http://{HOST}:{self.http_ports[name]}/readyz"
+                await _poll(session, url, name)
+
+    def stop(self) -> None:
+        """End every process that this system started."""
+        processes = self._processes.values()
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait(_STOP_SECONDS)
+
+    def _start(self, name: str, command: list[str]) -> None:
+        log = (self._folder / f"{name}.log").open("ab")
+        self._processes[name] = subprocess.Popen(
+            command, cwd=self._folder, stdout=log, stderr=log
+        )
+        log.close()
+
+    def _build_settings(
+        self, name: str, keys: dict[str, tuple[bytes, bytes]]
+    ) -> dict[str, Any]:
+        settings: dict[str, Any] = {
+            "instance": name,
+            "cluster": "demo",
+            "failure_domain": self._domain(name),
+            "http": {"host": HOST, "port": self.http_ports[name]},
+            "peer": {"host": HOST, "port": self._peer_ports[name]},
+            "secret_key": keys[name][1].decode(),
+            "operator_keys": {self.operator.name: self.operator.public_key},
+            "platform_url": f"http://{HOST}:{self.platform_port}/instances",
+            "address_ttl": self._shape.address_ttl,
+            "peers": [
+                {
+                    "instance": peer,
+                    "http": {"host": HOST, "port": self.http_ports[peer]},
+                    "peer": {"host": HOST, "port": self._peer_ports[peer]},
+                    "failure_domain": self._domain(peer),
+                    "public_key": keys[peer][0].decode(),
+                    "control": self._is_control(peer),
+                }
+                for peer in self.names
+                if peer != name
+            ],
+        }
+        if self._is_control(name):
+            settings["data_folder"] = str(self.data_folder(name))
+        return settings
+
+    def _is_control(self, name: str) -> bool:
+        return self.names.index(name) < self._shape.control
+
+    def _domain(self, name: str) -> str:
+        return f"nairobi-{'abc'[self.names.index(name) % 3]}"
+
+
+def _describe(name: str, service: str, port: int, cache: int) -> dict[str, Any]:
+    return {
+        "name": name,
+        "service": service,
+        "address": f"{HOST}:{port}",
+        "failure_domain": "nairobi-a",
+        "state": "live",
+        "cache_tokens": cache,
+    }
+
+
+async def _wait_for_port(port: int) -> None:
+    deadline = time.monotonic() + _START_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.close()
+            return
+        except OSError:
+            await asyncio.sleep(_STEP_SECONDS)
+    raise StartFailedError(f"nothing listens on port {port}")
+
+
+async def _poll(session: aiohttp.ClientSession, url: str, name: str) -> None:
+    deadline = time.monotonic() + _START_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            async with session.get(url) as response:
+                if response.status == 200:
+                    return
+        except aiohttp.ClientError:
+            pass
+        await asyncio.sleep(_STEP_SECONDS)
+    raise StartFailedError(f"{name} has no confirmed bundle")
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/demo.py
@@ -0,0 +1,115 @@
+"""Starts a small system, uses it as a caller and an operator would, and stops it.
+
+Usage:
+  demo --bin=FOLDER
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+from docopt import docopt
+
+from heathertack_fakes._caller import book_seat, fetch_addresses, stream_chat
+from heathertack_fakes._local_system import (
+    CALLER_KEY,
+    HOST,
+    LocalSystem,
+    SystemShape,
+    build_bundle,
+)
+
+_TOKENS = 12
+
+
+class DemoError(Exception):
+    """A step of the demo did not go as expected."""
+
+
+def expect(condition: bool, step: str) -> None:
+    """Stop the demo unless a condition holds."""
+    if not condition:
+        raise DemoError(step)
+
+
+async def run_demo(system: LocalSystem) -> None:
+    """Go through every step of the demo."""
+    await system.start()
+    print(f"started: {', '.join(system.running)}")
+    await _apply_bundles(system)
+    async with aiohttp.ClientSession() as session:
+        first = f"{HOST}:{system.http_ports[system.names[0]]}"
+        addresses = await fetch_addresses(session, first, "tutor-model")
+        print(f"addresses to use: {', '.join(addresses)}")
+        expect(len(addresses) == len(system.names), "every instance is named")
+        await _stream(session, addresses[0])
+        await _book(session, addresses, system)
+
+
+async def _apply_bundles(system: LocalSystem) -> None:
+    invalid = build_bundle(1)
+    invalid["services"]["tutor-model"]["kind"] = "poem"
+    refused = system.apply_bundle(invalid)
+    print(f"invalid bundle refused with exit code {refused.returncode}")
+    expect(refused.returncode != 0, "an invalid bundle is refused")
+    applied = system.apply_bundle(build_bundle(1))
+    print(f"bundle: {applied.stdout.strip()}")
+    expect(applied.returncode == 0, f"the bundle is applied: {applied.stderr}")
+    await system.wait_until_ready()
+    status = system.operate("status")
+    print(status.stdout.strip())
+    index = applied.stdout.split("index ")[1].rstrip(")\n")
+    in_use = status.stdout.count(f"bundle index {index}")
+    expect(in_use == len(system.names), "every instance uses the bundle")
+
+
+async def _stream(session: aiohttp.ClientSession, address: str) -> None:
+    prompt = f"Critique my sketch of a heron. [[length={_TOKENS}]]"
+    answer = await stream_chat(session, address, CALLER_KEY, prompt)
+    print(f"streamed answer: {answer.text.strip()} (whole: {answer.is_whole})")
+    expected = "".join(f"t{offset} " for offset in range(_TOKENS))
+    expect(answer.text == expected, "every token comes once and in order")
+    expect(answer.is_whole, "the end marker comes")
+
+
+async def _book(
+    session: aiohttp.ClientSession, addresses: list[str], system: LocalSystem
+) -> None:
+    first = await book_seat(session, addresses[0], CALLER_KEY, "booking-1", 7)
+    second = await book_seat(session, addresses[1], CALLER_KEY, "booking-1", 7)
+    print(f"booking: {first.document}, sent again: {second.document}")
+    expect(first.status == 201, "the seat is booked")
+    expect(second.document == first.document, "the same answer comes again")
+    expect(second.is_replay, "the second answer is a replay")
+    url = f"http://{HOST}:{system.plain_ports[0]}/executions"
+    async with session.get(url) as response:
+        executions = await response.json()
+    expect(executions == {"booking-1": 1}, f"one execution, not {executions}")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the demo and return the exit code."""
+    options = docopt(__doc__ or "", argv=arguments)
+    with tempfile.TemporaryDirectory() as folder:
+        binaries = Path(options["--bin"]).absolute()
+        system = LocalSystem(Path(folder), binaries, SystemShape())
+        try:
+            asyncio.run(run_demo(system))
+        except DemoError as error:
+            print(f"demo failed: expected: {error}", file=sys.stderr)
+            for log in sorted(Path(folder).glob("*.log")):
+                sys.stderr.write(f"--- {log.name}\n{log.read_text()[-2000:]}\n")
+            return 1
+        finally:
+            system.stop()
+        print(f"processes left: {len(system.running)}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/serve.py
@@ -0,0 +1,48 @@
+"""Runs one stand-in as a process.
+
+Usage:
+  serve engine PORT [--cache=TOKENS] [--step=SECONDS]
+  serve plain PORT
+  serve platform PORT FILE
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+from aiohttp import web
+from docopt import docopt
+
+from heathertack_fakes._engine_model import EngineSize, EngineSpeed
+from heathertack_fakes._engine_server import EngineServer
+from heathertack_fakes._plain_server import PlainServer
+from heathertack_fakes._platform_server import PlatformServer
+
+_HOST = "127.0.0.1"
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Serve until the process is ended."""
+    options = docopt(__doc__ or "", argv=arguments)
+    if options["engine"]:
+        size = EngineSize()
+        speed = EngineSpeed()
+        if options["--cache"]:
+            size = size._replace(cache_tokens=int(options["--cache"]))
+        if options["--step"]:
+            speed = speed._replace(step=float(options["--step"]))
+        app = EngineServer(size, speed).build_app()
+    elif options["plain"]:
+        app = PlainServer().build_app()
+    else:
+        instances = msgspec.json.decode(Path(options["FILE"]).read_bytes())
+        app = PlatformServer(instances).build_app()
+    web.run_app(app, host=_HOST, port=int(options["PORT"]), print=None, access_log=None)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -0,0 +1,83 @@
+"""Sections of the blackboard of one instance."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
+from heathertack.blackboard._board import Section
+from heathertack.bundle import Bundle
+from heathertack.messages import MemberRecord, TargetRecord
+
+
+class BundleView(NamedTuple):
+    """Bundle in force on this instance."""
+
+    #: Index of its log entry; 0 before the first one.
+    log_index: int = 0
+    bundle: Bundle | None = None
+    #: Client accounts by the SHA-256 of their caller key.
+    accounts: Mapping[str, str] = MappingProxyType({})
+
+
+class LeaseView(NamedTuple):
+    """How long the bundle and the tables are confirmed."""
+
+    #: Monotonic clock, seconds.
+    valid_until: float = float("-inf")
+    #: Instance that leads, as far as known.
+    leader: str = ""
+
+    def is_valid(self, now: float) -> bool:
+        """Tell whether new work may be taken."""
+        return now < self.valid_until
+
+
+class ControlView(NamedTuple):
+    """State of the control log on this instance."""
+
+    is_leader: bool = False
+    term: int = 0
+    #: Leader lease, monotonic clock, seconds.
+    lease_until: float = float("-inf")
+    #: Index of the latest accepted bundle.
+    bundle_index: int = 0
+    #: Requests that lost targets, with the number lost.
+    suspects: tuple[tuple[str, int], ...] = ()
+    #: Instances that an operator marked as leaving.
+    draining: frozenset[str] = frozenset()
+
+    def may_lead(self, now: float) -> bool:
+        """Tell whether this instance may act as the leader."""
+        return self.is_leader and now < self.lease_until
+
+
+class DrainView(NamedTuple):
+    """Whether this instance is leaving, and what it still does."""
+
+    leaving: bool = False
+    open_requests: int = 0
+
+
+class TargetHealth(NamedTuple):
+    """What this instance saw of a target."""
+
+    #: Failures in a row.
+    failures: int = 0
+    #: Time until which the target is avoided, monotonic clock, seconds.
+    avoid_until: float = float("-inf")
+    #: Mean time between two events of a stream, seconds.
+    mean_gap: float = 0.0
+    #: Mean deviation of that time, seconds.
+    gap_deviation: float = 0.0
+
+
+BUNDLE: Section[BundleView] = Section("bundle", BundleView())
+LEASE: Section[LeaseView] = Section("lease", LeaseView())
+MEMBERS: Section[Mapping[str, MemberRecord]] = Section("members", {})
+TARGETS: Section[Mapping[str, TargetRecord]] = Section("targets", {})
+SUSPECTS: Section[Mapping[str, int]] = Section("suspects", {})
+CONTROL: Section[ControlView] = Section("control", ControlView())
+DRAIN: Section[DrainView] = Section("drain", DrainView())
+TARGET_HEALTH: Section[Mapping[str, TargetHealth]] = Section("target_health", {})
--- /dev/null
+++ b/packages/heathertack/src/heathertack/bundle/_difference.py
@@ -0,0 +1,86 @@
+"""Differences between two bundles."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from heathertack.bundle._model import Bundle
+
+
+class BundleChange(NamedTuple):
+    """One value that differs between two bundles."""
+
+    #: Keys from the root of the bundle to the value.
+    path: tuple[str, ...]
+    #: Value in the older bundle, ``None`` where it is absent.
+    before: Any
+    #: Value in the newer bundle, ``None`` where it is absent.
+    after: Any
+
+
+def compare_bundles(before: Bundle, after: Bundle) -> tuple[BundleChange, ...]:
+    """Return every leaf value that differs, ordered by path."""
+    return tuple(_compare((), before, after))
+
+
+def apply_changes(bundle: Bundle, changes: tuple[BundleChange, ...]) -> Bundle:
+    """Return a copy of a bundle with changes applied."""
+    changed: Any = bundle
+    for change in changes:
+        changed = _set_value(changed, change.path, change.after)
+    return msgspec.convert(changed, Bundle)
+
+
+def digest_content(bundle: Bundle) -> str:
+    """Return the SHA-256 of a bundle in its canonical form, hexadecimal."""
+    canonical = msgspec.json.encode(bundle, order="deterministic")
+    return hashlib.sha256(canonical).hexdigest()
+
+
+def pack_bundle(bundle: Bundle) -> bytes:
+    """Encode and compress a whole bundle."""
+    return zlib.compress(msgspec.msgpack.encode(bundle))
+
+
+def unpack_bundle(data: bytes) -> Bundle:
+    """Return the bundle that :func:`pack_bundle` encoded."""
+    return msgspec.msgpack.decode(zlib.decompress(data), type=Bundle)
+
+
+def pack_changes(changes: tuple[BundleChange, ...]) -> bytes:
+    """Encode and compress changes."""
+    return zlib.compress(msgspec.msgpack.encode(changes))
+
+
+def unpack_changes(data: bytes) -> tuple[BundleChange, ...]:
+    """Return the changes that :func:`pack_changes` encoded."""
+    encoded = zlib.decompress(data)
+    return msgspec.msgpack.decode(encoded, type=tuple[BundleChange, ...])
+
+
+def _compare(
+    path: tuple[str, ...], before: object, after: object
+) -> Iterator[BundleChange]:
+    if isinstance(before, Mapping) and isinstance(after, Mapping):
+        for key in sorted(before.keys() | after.keys()):
+            yield from _compare((*path, key), before.get(key), after.get(key))
+    elif before != after:
+        yield BundleChange(path, before, after)
+
+
+def _set_value(node: Any, path: tuple[str, ...], value: Any) -> Any:
+    """Return a copy of nested maps with one value set, or removed for ``None``."""
+    if not path:
+        return value
+    copy = dict(node)
+    child = _set_value(copy.get(path[0], {}), path[1:], value)
+    if child is None:
+        copy.pop(path[0], None)
+    else:
+        copy[path[0]] = child
+    return copy
--- /dev/null
+++ b/packages/heathertack/src/heathertack/bundle/_queries.py
@@ -0,0 +1,21 @@
+"""Look-ups in a bundle."""
+
+from __future__ import annotations
+
+from heathertack.bundle._model import Bundle, PlainRoute, ServiceConfiguration
+
+
+def index_accounts(bundle: Bundle) -> dict[str, str]:
+    """Return the names of client accounts by the SHA-256 of their caller key."""
+    accounts = bundle["accounts"].items()
+    return {account["key_sha256"]: name for name, account in accounts}
+
+
+def find_route(
+    service: ServiceConfiguration, method: str, path: str
+) -> PlainRoute | None:
+    """Return the first route of a plain service that covers a call."""
+    for route in service.get("routes", []):
+        if route["method"] == method and path.startswith(route["path"]):
+            return route
+    return None
--- /dev/null
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -0,0 +1,127 @@
+import copy
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from heathertack.bundle import (
+    apply_changes,
+    compare_bundles,
+    digest_content,
+    pack_bundle,
+    pack_changes,
+    parse_bundle,
+    sign_bundle,
+    unpack_bundle,
+    unpack_changes,
+    verify_bundle,
+)
+
+BUNDLE: dict[str, Any] = {
+    "version": 3,
+    "services": {
+        "tutor": {"kind": "generation", "model": "m"},
+        "portal": {
+            "kind": "plain",
+            "routes": [{"method": "POST", "path": "/pay", "idempotent": False}],
+        },
+    },
+    "classes": {"note": 1},
+    "accounts": {
+        "school": {
+            "key_sha256": "a" * 64,
+            "share": 1.0,
+            "max_in_progress": 4,
+            "default_class": "note",
+        }
+    },
+}
+
+SECRET = "nWGxne/9WmC6hEr0kuwsxERJxWl7MmkZcDusAxyuf2A="
+PUBLIC = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo="
+
+INVALID = [
+    (("version",), 0, "$.version"),
+    (("colour",), 1, "$.colour"),
+    (("services", "tutor"), {"kind": "generation"}, "$.services.tutor"),
+    (("services", "portal", "routes"), [], "$.services.portal"),
+    (
+        ("services", "portal", "routes"),
+        [{"method": "GET", "path": "x", "idempotent": True}],
+        "$.services.portal.routes[0].path",
+    ),
+    (("accounts", "school", "share"), 0, "$.accounts.school.share"),
+    (("accounts", "school", "key_sha256"), "a", "$.accounts.school.key_sha256"),
+    (("accounts", "school", "default_class"), "x", "$.accounts.school.default_class"),
+    (("accounts", "school", "max_in_progress"), 0, "$.accounts.school.max_in_progress"),
+]
+
+
+def change(path: tuple[str, ...], value: Any) -> dict[str, Any]:
+    bundle = copy.deepcopy(BUNDLE)
+    node = bundle
+    for key in path[:-1]:
+        node = node[key]
+    node[path[-1]] = value
+    return bundle
+
+
+class TestParseBundle:
+    def test_accepts_a_whole_bundle(self) -> None:
+        assert isinstance(parse_bundle("b", json.dumps(BUNDLE)), Success)
+
+    @pytest.mark.parametrize(("path", "value", "place"), INVALID)
+    def test_names_the_first_wrong_value(
+        self, path: tuple[str, ...], value: Any, place: str
+    ) -> None:
+        result = parse_bundle("b.jsonc", json.dumps(change(path, value)))
+        assert isinstance(result, Failure)
+        assert str(result.failure()).startswith(f"b.jsonc: {place}: ")
+
+    def test_refuses_two_accounts_with_one_key(self) -> None:
+        bundle = copy.deepcopy(BUNDLE)
+        bundle["accounts"]["other"] = bundle["accounts"]["school"]
+        result = parse_bundle("b", json.dumps(bundle))
+        assert isinstance(result, Failure)
+        assert result.failure().expected == "a key of no other account"
+
+
+class TestSignature:
+    @pytest.mark.parametrize(
+        ("text", "keys", "is_valid"),
+        [
+            ("text", {"asha": PUBLIC}, True),
+            ("other", {"asha": PUBLIC}, False),
+            ("text", {}, False),
+            ("text", {"asha": "AAAA"}, False),
+        ],
+    )
+    def test_verifies_only_trusted_text(
+        self, text: str, keys: dict[str, str], is_valid: bool
+    ) -> None:
+        signed = sign_bundle("text", "asha", SECRET)._replace(text=text)
+        assert verify_bundle(signed, keys) is is_valid
+
+
+class TestChanges:
+    @given(
+        st.dictionaries(st.sampled_from("abcd"), st.integers(1, 9), min_size=1),
+        st.dictionaries(st.sampled_from("abcd"), st.integers(1, 9), min_size=1),
+    )
+    def test_changes_lead_from_one_bundle_to_the_other(
+        self, old_classes: dict[str, int], new_classes: dict[str, int]
+    ) -> None:
+        empty: dict[str, Any] = {"services": {}, "accounts": {}}
+        old_text = json.dumps({"version": 1, "classes": old_classes, **empty})
+        new_text = json.dumps({"version": 2, "classes": new_classes, **empty})
+        old = parse_bundle("old", old_text).unwrap()
+        new = parse_bundle("new", new_text).unwrap()
+        changes = unpack_changes(pack_changes(compare_bundles(old, new)))
+        assert digest_content(apply_changes(old, changes)) == digest_content(new)
+
+    def test_packed_bundle_is_unchanged(self) -> None:
+        bundle = parse_bundle("b", json.dumps(BUNDLE)).unwrap()
+        assert unpack_bundle(pack_bundle(bundle)) == bundle
--- /dev/null
+++ b/packages/heathertack/src/heathertack/consensus/_progress.py
@@ -0,0 +1,22 @@
+"""What a leader knows of one other replica."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ReplicaProgress(NamedTuple):
+    """Replication state of one replica."""
+
+    #: First index not yet sent.
+    next_index: int
+    #: Last index known to be stored there.
+    match_index: int = 0
+    #: Leader's clock when it sent the latest message that was answered.
+    confirmed_at: float = float("-inf")
+    #: Leader's clock when it sent the latest message that was accepted.
+    accepted_at: float = float("-inf")
+    #: Leader's clock when a response came last.
+    heard_at: float = float("-inf")
+    #: Leader's clock when a snapshot was sent last.
+    snapshot_sent_at: float = float("-inf")
--- /dev/null
+++ b/packages/heathertack/src/heathertack/consensus/_replica.py
@@ -0,0 +1,260 @@
+"""One replica of the control log."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, assert_never
+
+from returns.result import Failure, Result, Success
+
+from heathertack.consensus._core import ReplicaCore
+from heathertack.consensus._effects import Effect
+from heathertack.consensus._election import Election
+from heathertack.consensus._messages import (
+    AppendRequest,
+    AppendResponse,
+    ConsensusMessage,
+    SnapshotRequest,
+    VoteRequest,
+    VoteResponse,
+)
+from heathertack.consensus._replication import Replication
+from heathertack.consensus._types import (
+    DurableState,
+    EntryKind,
+    Membership,
+    RandomSource,
+    ReplicaTimings,
+    Role,
+)
+
+#: Most voters of one log.
+MAX_VOTERS = 7
+
+
+class Proposal(NamedTuple):
+    """Place of proposed entries in the log; they may yet be lost."""
+
+    #: Index of the first one.
+    first_index: int
+    #: Term they were proposed in.
+    term: int
+
+
+class ProposalError(StrEnum):
+    """Why a proposal was not appended."""
+
+    NOT_LEADER = "not_leader"
+    CHANGE_IN_PROGRESS = "change_in_progress"
+    UNKNOWN_REPLICA = "unknown_replica"
+    TOO_MANY_REPLICAS = "too_many_replicas"
+    LAST_VOTER = "last_voter"
+
+
+class Replica:
+    """Pure state machine of one replica.
+
+    Every method that takes ``now`` returns the effects to carry out, in order.
+
+    Parameters
+    ----------
+    name : str
+        Instance with its storage identity.
+    durable : DurableState
+        What storage holds.
+    timings : ReplicaTimings
+        Intervals, seconds.
+    random : RandomSource
+        Source of election waits.
+    now : float
+        Monotonic clock, seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        durable: DurableState,
+        timings: ReplicaTimings,
+        random: RandomSource,
+        now: float,
+    ) -> None:
+        self._core = ReplicaCore(name, durable, timings, random, now)
+        self._election = Election(self._core)
+        self._replication = Replication(self._core, durable.snapshot)
+
+    @property
+    def name(self) -> str:
+        """Name of this replica."""
+        return self._core.name
+
+    @property
+    def role(self) -> Role:
+        """Part played in the current term."""
+        return self._core.role
+
+    @property
+    def term(self) -> int:
+        """Highest term seen."""
+        return self._core.term
+
+    @property
+    def leader(self) -> str:
+        """Leader of the current term, empty while unknown."""
+        return self._core.leader
+
+    @property
+    def commit_index(self) -> int:
+        """Last committed index."""
+        return self._core.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Last index of the log."""
+        return self._core.log.last_index
+
+    @property
+    def log_length(self) -> int:
+        """Number of entries since the latest snapshot."""
+        return self._core.log.last_index - self._core.log.snapshot_index
+
+    @property
+    def membership(self) -> Membership:
+        """Membership in force."""
+        return self._core.membership
+
+    @property
+    def fencing_number(self) -> int:
+        """Number for orders of this leadership; it only grows between leaders."""
+        return self._replication.term_start_index
+
+    def next_deadline(self) -> float:
+        """Return the time of the next :meth:`tick` that matters."""
+        if self._core.role is Role.LEADER:
+            return self._replication.next_heartbeat
+        return self._core.election_deadline
+
+    def lease_expiry(self, now: float) -> float:
+        """Return the time until which no other leader can exist."""
+        if self._core.role is not Role.LEADER:
+            return float("-inf")
+        if not self._replication.term_is_committed:
+            return float("-inf")
+        return self._replication.lease_expiry(now)
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether this replica leads and no other leader can exist."""
+        return now < self.lease_expiry(now)
+
+    def tick(self, now: float) -> tuple[Effect, ...]:
+        """Act on the passing of time."""
+        core = self._core
+        if core.role is Role.LEADER:
+            if not self._replication.hears_quorum(now):
+                core.become_follower(core.term, "", now)
+            elif now >= self._replication.next_heartbeat:
+                self._replication.broadcast(now)
+        elif now >= core.election_deadline and core.is_voter:
+            self._election.start_pre_vote(now)
+            self._advance_election(now)
+        return core.take_effects()
+
+    def handle(self, message: ConsensusMessage, now: float) -> tuple[Effect, ...]:
+        """Act on a message of another replica."""
+        match message:
+            case VoteRequest():
+                self._election.handle_request(message, now)
+            case VoteResponse():
+                self._election.handle_response(message, now)
+                self._advance_election(now)
+            case AppendRequest():
+                self._replication.handle_append(message, now)
+            case AppendResponse():
+                self._replication.handle_response(message, now)
+                self._advance_membership(now)
+            case SnapshotRequest():
+                self._replication.handle_snapshot(message, now)
+            case _:
+                assert_never(message)
+        return self._core.take_effects()
+
+    def propose(
+        self, payloads: tuple[bytes, ...], now: float
+    ) -> tuple[Result[Proposal, ProposalError], tuple[Effect, ...]]:
+        """Append commands as the leader."""
+        core = self._core
+        if core.role is not Role.LEADER:
+            return Failure(ProposalError.NOT_LEADER), ()
+        entries = self._replication.append(EntryKind.COMMAND, payloads, now)
+        proposal = Proposal(entries[0].log_index, core.term)
+        return Success(proposal), core.take_effects()
+
+    def add_learner(
+        self, replica: str, now: float
+    ) -> tuple[Result[None, ProposalError], tuple[Effect, ...]]:
+        """Start to replicate to a replica; it votes once it has caught up."""
+        membership = self._core.membership
+        if replica in membership.replicas:
+            return Success(None), ()
+        if len(membership.replicas) > MAX_VOTERS:
+            return Failure(ProposalError.TOO_MANY_REPLICAS), ()
+        learners = (*membership.learners, replica)
+        return self._change(membership._replace(learners=learners), now)
+
+    def remove_replica(
+        self, replica: str, now: float
+    ) -> tuple[Result[None, ProposalError], tuple[Effect, ...]]:
+        """Take a replica out of the membership."""
+        membership = self._core.membership
+        if replica not in membership.replicas:
+            return Failure(ProposalError.UNKNOWN_REPLICA), ()
+        voters = tuple(v for v in membership.voters if v != replica)
+        learners = tuple(v for v in membership.learners if v != replica)
+        if not voters:
+            return Failure(ProposalError.LAST_VOTER), ()
+        return self._change(Membership(voters, learners), now)
+
+    def take_snapshot(self, index: int, data: bytes) -> tuple[Effect, ...]:
+        """Compact the log up to an applied index."""
+        self._replication.take_snapshot(index, data)
+        return self._core.take_effects()
+
+    def _change(
+        self, membership: Membership, now: float
+    ) -> tuple[Result[None, ProposalError], tuple[Effect, ...]]:
+        core = self._core
+        if core.role is not Role.LEADER:
+            return Failure(ProposalError.NOT_LEADER), ()
+        if not self._may_change_membership():
+            return Failure(ProposalError.CHANGE_IN_PROGRESS), ()
+        self._replication.change_membership(membership, now)
+        return Success(None), core.take_effects()
+
+    def _may_change_membership(self) -> bool:
+        core = self._core
+        is_settled = core.membership_index <= core.commit_index
+        return is_settled and self._replication.term_is_committed
+
+    def _advance_election(self, now: float) -> None:
+        core = self._core
+        if core.role is Role.PRE_CANDIDATE and self._election.has_quorum:
+            self._election.start_vote(now)
+        if core.role is Role.CANDIDATE and self._election.has_quorum:
+            self._replication.start_leading(now)
+
+    def _advance_membership(self, now: float) -> None:
+        """Promote a learner that caught up; stop leading once removed."""
+        core = self._core
+        if core.role is not Role.LEADER or not self._may_change_membership():
+            return
+        membership = core.membership
+        if core.name not in membership.voters:
+            core.become_follower(core.term, "", now)
+            return
+        for learner in membership.learners:
+            has_room = len(membership.voters) < MAX_VOTERS
+            has_caught_up = self._replication.match_index(learner) >= core.commit_index
+            if has_room and has_caught_up:
+                learners = tuple(v for v in membership.learners if v != learner)
+                promoted = Membership((*membership.voters, learner), learners)
+                self._replication.change_membership(promoted, now)
+                return
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_addresses.py
@@ -0,0 +1,71 @@
+"""Answers callers that ask which addresses to use."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from heathertack.blackboard import MEMBERS, Blackboard
+from heathertack.messages import MemberRecord, MemberState
+
+_MOST_ADDRESSES = 4
+
+
+class ShuffleSource(Protocol):
+    """Source of random numbers in [0, 1)."""
+
+    def random(self) -> float:
+        """Return the next number."""
+        ...
+
+
+class AddressChoice(NamedTuple):
+    """One address that a caller may use."""
+
+    address: str
+    failure_domain: str
+
+
+class AddressAnswer(NamedTuple):
+    """Addresses in the order in which they are to be used."""
+
+    addresses: tuple[AddressChoice, ...]
+    #: How long the answer may be kept, seconds.
+    ttl: float
+
+
+def choose_addresses(
+    board: Blackboard, failure_domain: str, ttl: float, random: ShuffleSource
+) -> AddressAnswer:
+    """Choose addresses for a caller.
+
+    Instances in the caller's failure domain come first, then those with less
+    load. Among equals the order is random, so that callers spread.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    failure_domain : str
+        Failure domain of the caller, empty while unknown.
+    ttl : float
+        How long the answer may be kept, seconds.
+    random : ShuffleSource
+        Breaks ties.
+
+    Returns
+    -------
+    AddressAnswer
+        At most four addresses; none of an instance that is leaving.
+    """
+    members = board.read(MEMBERS).values()
+    alive = [member for member in members if member.state is MemberState.ALIVE]
+
+    def rank(member: MemberRecord) -> tuple[bool, int, float]:
+        is_elsewhere = bool(failure_domain) and member.failure_domain != failure_domain
+        return (is_elsewhere, member.load, random.random())
+
+    chosen = sorted(alive, key=rank)[:_MOST_ADDRESSES]
+    addresses = tuple(
+        AddressChoice(member.http_address, member.failure_domain) for member in chosen
+    )
+    return AddressAnswer(addresses, ttl)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -0,0 +1,498 @@
+"""Admission to the targets of one group."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from heathertack.messages import (
+    ReservationAnnounce,
+    ReservationGrant,
+    ReservationOutcome,
+    ReservationQueued,
+    ReservationRefusal,
+    ReservationRelease,
+    ReservationRequest,
+)
+from heathertack.policy import (
+    AdmissionTuning,
+    FairQueue,
+    LedgerEntry,
+    LengthEstimator,
+    PrefixIndex,
+    QueuedItem,
+    TargetLedger,
+)
+
+_LOSSES_TO_QUARANTINE = 2
+_BACKLOG_BEFORE_ESTIMATE_SECONDS = 3.0
+
+Reply = ReservationGrant | ReservationRefusal | ReservationQueued
+
+
+class AddressedReply(NamedTuple):
+    """A reply with the instance that it is for."""
+
+    instance: str
+    reply: Reply
+
+
+class EngineLoad(NamedTuple):
+    """Load report of an engine."""
+
+    #: Grows with every report.
+    sequence: int
+    #: Generations being decoded.
+    running: int
+    #: Generations waiting in the engine.
+    waiting: int
+    #: Tokens in the cache that belong to running generations.
+    cache_tokens: int
+    #: Tokens that the cache holds.
+    cache_capacity: int
+    #: Preemptions since the engine started.
+    preemptions: int
+
+
+class _Waiting(NamedTuple):
+    """A request in the queue."""
+
+    request: ReservationRequest
+    instance: str
+    deadline: float
+    heard_at: float
+    #: Targets that were lost to copies of the request.
+    losses: int
+
+
+class _Held(NamedTuple):
+    """A reservation that an entry uses."""
+
+    request: ReservationRequest
+    instance: str
+    target: str
+    made: int
+    heard_at: float
+
+
+class AdmissionGroup:
+    """Queue and ledgers of the targets of one group.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    tuning : AdmissionTuning
+        Parameters.
+    estimator : LengthEstimator
+        Learnt lengths, shared by all groups of the instance.
+    now : float
+        Monotonic clock, seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        tuning: AdmissionTuning,
+        estimator: LengthEstimator,
+        now: float,
+    ) -> None:
+        self.name = name
+        self._tuning = tuning
+        self._estimator = estimator
+        self._settled_at = now + tuning.settling
+        self._queue: FairQueue[_Waiting] = FairQueue()
+        self._ledgers: dict[str, TargetLedger] = {}
+        self._prefixes: dict[str, PrefixIndex] = {}
+        self._held: dict[str, _Held] = {}
+        self._loads: dict[str, EngineLoad] = {}
+        self._avoid_until: dict[str, float] = {}
+        self._usable: frozenset[str] = frozenset()
+        self._losses: dict[str, int] = {}
+        self._quantile = tuning.quantile
+        self._quantile_at = now
+        self._grant_times: deque[float] = deque()
+        self._backlog_since: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits and nothing is reserved."""
+        return not self._held and not len(self._queue)
+
+    @property
+    def queue_length(self) -> int:
+        """Number of requests that wait."""
+        return len(self._queue)
+
+    @property
+    def held_count(self) -> int:
+        """Number of reservations in use."""
+        return len(self._held)
+
+    @property
+    def quantile(self) -> float:
+        """Quantile of the remaining length that is reserved."""
+        return self._quantile
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Targets that take new work."""
+        return tuple(sorted(self._usable))
+
+    def set_targets(self, capacities: Mapping[str, int]) -> None:
+        """Set the targets that take new work, with the size of their caches."""
+        self._usable = frozenset(capacities)
+        for target, capacity in capacities.items():
+            ledger = self._ledgers.get(target)
+            if ledger is None:
+                self._ledgers[target] = TargetLedger(capacity)
+                self._prefixes[target] = PrefixIndex()
+            else:
+                ledger.capacity = capacity
+        for target in tuple(self._ledgers):
+            if target not in self._usable and not self._ledgers[target].count:
+                del self._ledgers[target]
+                del self._prefixes[target]
+
+    def request(
+        self, request: ReservationRequest, instance: str, losses: int, now: float
+    ) -> tuple[AddressedReply, ...]:
+        """Queue a request, or repeat the answer to an earlier copy of it."""
+        held = self._held.get(request.generation_id)
+        if held is not None and held.request.attempt == request.attempt:
+            grant = _grant(held.request, held.target, "repeated")
+            return (AddressedReply(instance, grant),)
+        if held is not None:
+            self._drop(request.generation_id)
+        losses = max(losses, self._losses.get(request.fingerprint, 0))
+        if losses >= _LOSSES_TO_QUARANTINE:
+            longest = self._tuning.retry_after_bounds[1]
+            reason = f"{losses} targets were lost to this request"
+            return (self._refuse(request, instance, "quarantined", longest, reason),)
+        queued = self._queue.remove(request.generation_id)
+        if queued is None:
+            refusal = self._refuse_early(request, instance, now)
+            if refusal is not None:
+                return (refusal,)
+        self._enqueue(request, instance, queued, losses, now)
+        replies = self.dispatch(now)
+        if request.generation_id in self._queue:
+            reply = ReservationQueued(request.generation_id, request.attempt)
+            return (*replies, AddressedReply(instance, reply))
+        return replies
+
+    def announce(
+        self, announce: ReservationAnnounce, instance: str, now: float
+    ) -> None:
+        """Take over a reservation that another owner granted."""
+        request = announce.request
+        self._queue.remove(request.generation_id)
+        self._hold(request, instance, announce.target, announce.made, now)
+
+    def note_progress(self, generation_id: str, made: int, now: float) -> bool:
+        """Note the tokens of a generation, and tell whether it is known."""
+        held = self._held.get(generation_id)
+        if held is None:
+            return generation_id in self._queue
+        self._charge(held, made)
+        self._hold(held.request, held.instance, held.target, made, now)
+        return True
+
+    def release(self, release: ReservationRelease, now: float) -> None:
+        """End a reservation or withdraw a request."""
+        self._queue.remove(release.generation_id)
+        held = self._held.get(release.generation_id)
+        if held is None or held.request.attempt != release.attempt:
+            return
+        self._charge(held, release.made)
+        self._drop(release.generation_id)
+        request = held.request
+        if release.outcome is ReservationOutcome.FINISHED:
+            self._estimator.observe(
+                request.service, request.account, request.class_name, release.made
+            )
+        if release.outcome is ReservationOutcome.TARGET_LOST:
+            losses = self._losses.get(request.fingerprint, 0) + 1
+            self._losses[request.fingerprint] = losses
+        if release.outcome in _TARGET_FAILURES:
+            pause = _TARGET_FAILURES[release.outcome]
+            self._avoid_until[held.target] = now + pause
+
+    def note_load(self, target: str, load: EngineLoad, now: float) -> None:
+        """Take over a load report."""
+        ledger = self._ledgers.get(target)
+        previous = self._loads.get(target)
+        if ledger is None or (previous and load.sequence <= previous.sequence):
+            return
+        self._loads[target] = load
+        if load.cache_capacity:
+            ledger.capacity = load.cache_capacity
+        ledger.note_reported_use(load.cache_tokens, load.cache_capacity // 10)
+        if previous is not None and load.preemptions > previous.preemptions:
+            self._raise_quantile(load.preemptions - previous.preemptions)
+
+    def note_target_silent(self, target: str, pause: float, now: float) -> None:
+        """Avoid a target that does not report its load, for some seconds."""
+        self._avoid_until[target] = now + pause
+
+    def note_cache_event(
+        self,
+        target: str,
+        sequence: int,
+        stored: tuple[int, ...],
+        evicted: tuple[int, ...],
+    ) -> None:
+        """Take over a cache event of a target."""
+        index = self._prefixes.get(target)
+        if index is not None:
+            index.note_event(sequence, stored, evicted)
+
+    def pass_time(self, live: frozenset[str], now: float) -> tuple[AddressedReply, ...]:
+        """Drop what nobody waits for, refuse what is late, and place the rest.
+
+        Parameters
+        ----------
+        live : frozenset of str
+            Instances that are not gone.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of AddressedReply
+            Replies to the entries.
+        """
+        self._lower_quantile(now)
+        limit = now - self._tuning.reservation_timeout
+        for generation_id, held in tuple(self._held.items()):
+            if held.heard_at < limit or held.instance not in live:
+                self._drop(generation_id)
+        refusals: list[AddressedReply] = []
+        for queued in tuple(self._queue.ordered()):
+            waiting = queued.item
+            if waiting.heard_at < limit or waiting.instance not in live:
+                self._queue.remove(queued.key)
+            elif now >= waiting.deadline:
+                self._queue.remove(queued.key)
+                refusals.append(self._refuse_late(waiting))
+        self._queue.forget_idle()
+        return (*refusals, *self.dispatch(now))
+
+    def dispatch(self, now: float) -> tuple[AddressedReply, ...]:
+        """Place waiting requests on targets that have room."""
+        if now < self._settled_at:
+            return ()
+        replies: list[AddressedReply] = []
+        passed = 0
+        for queued in tuple(self._queue.ordered()):
+            waiting = queued.item
+            target = self._choose_target(waiting, now)
+            if target is not None:
+                self._queue.remove(queued.key)
+                replies.append(self._place(waiting, target, now))
+                continue
+            passed += 1
+            is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
+            if is_old_head or passed > self._tuning.look_ahead:
+                break
+        self._note_backlog(now)
+        return tuple(replies)
+
+    def _enqueue(
+        self,
+        request: ReservationRequest,
+        instance: str,
+        earlier: QueuedItem[_Waiting] | None,
+        losses: int,
+        now: float,
+    ) -> None:
+        """Add a request, or refresh one that keeps its place."""
+        queued_at = earlier.queued_at if earlier is not None else now
+        deadline = (
+            earlier.item.deadline if earlier is not None else now + request.patience
+        )
+        waiting = _Waiting(request, instance, deadline, now, losses)
+        self._queue.add(
+            QueuedItem(
+                request.generation_id,
+                request.account,
+                request.priority,
+                request.share,
+                queued_at,
+                waiting,
+            )
+        )
+
+    def _refuse_early(
+        self, request: ReservationRequest, instance: str, now: float
+    ) -> AddressedReply | None:
+        """Refuse a request at once that would wait longer than it may."""
+        ahead = sum(1 for q in self._queue.ordered() if q.priority >= request.priority)
+        estimate = self._estimate_wait(ahead, now)
+        if len(self._queue) >= self._tuning.queue_limit:
+            reason = f"{len(self._queue)} requests wait already"
+            return self._refuse(request, instance, "queue_full", estimate, reason)
+        if estimate > request.patience:
+            reason = f"the wait would be about {estimate:.1f} s"
+            wait = estimate - request.patience
+            return self._refuse(request, instance, "overloaded", wait, reason)
+        return None
+
+    def _refuse_late(self, waiting: _Waiting) -> AddressedReply:
+        request = waiting.request
+        wait = len(self._queue) / max(self._grant_rate(), 0.1)
+        reason = f"no target had room within {request.patience:.1f} s"
+        return self._refuse(request, waiting.instance, "overloaded", wait, reason)
+
+    def _refuse(
+        self,
+        request: ReservationRequest,
+        instance: str,
+        code: str,
+        retry_after: float,
+        reason: str,
+    ) -> AddressedReply:
+        shortest, longest = self._tuning.retry_after_bounds
+        wait = min(max(retry_after, shortest), longest)
+        refusal = ReservationRefusal(
+            request.generation_id, request.attempt, code, wait, reason
+        )
+        return AddressedReply(instance, refusal)
+
+    def _estimate_wait(self, ahead: int, now: float) -> float:
+        """Return the expected wait behind other requests, seconds."""
+        since = self._backlog_since
+        if since is None or now - since < _BACKLOG_BEFORE_ESTIMATE_SECONDS:
+            return 0.0
+        self._forget_old_grants(now)
+        return (ahead + 1) / max(self._grant_rate(), 0.1)
+
+    def _grant_rate(self) -> float:
+        """Return the recent number of grants per second."""
+        return len(self._grant_times) / self._tuning.rate_window
+
+    def _forget_old_grants(self, now: float) -> None:
+        limit = now - self._tuning.rate_window
+        while self._grant_times and self._grant_times[0] < limit:
+            self._grant_times.popleft()
+
+    def _note_backlog(self, now: float) -> None:
+        if not len(self._queue):
+            self._backlog_since = None
+        elif self._backlog_since is None:
+            self._backlog_since = now
+
+    def _choose_target(self, waiting: _Waiting, now: float) -> str | None:
+        """Return the target with the lowest projected load that has room."""
+        request = waiting.request
+        if waiting.losses and self._is_running(request.fingerprint):
+            return None
+        best: tuple[float, str] | None = None
+        for target in self._candidates(request, now):
+            score = self._score(request, target)
+            if score is not None and (best is None or (score, target) < best):
+                best = (score, target)
+        return best[1] if best is not None else None
+
+    def _is_running(self, fingerprint: str) -> bool:
+        """Tell whether a copy of a request is running."""
+        held_requests = (held.request for held in self._held.values())
+        return any(request.fingerprint == fingerprint for request in held_requests)
+
+    def _candidates(self, request: ReservationRequest, now: float) -> tuple[str, ...]:
+        usable = tuple(t for t in self._usable if t not in request.excluded)
+        usable = usable or tuple(self._usable)
+        willing = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
+        return willing or usable
+
+    def _score(self, request: ReservationRequest, target: str) -> float | None:
+        """Return the load of a target with a request added, ``None`` if it is full."""
+        tuning = self._tuning
+        ledger = self._ledgers[target]
+        saved = self._prefixes[target].saved_tokens(request.prefix)
+        prompt = max(request.prompt_tokens - saved, 0)
+        waiting = ledger.waiting_prompt_tokens
+        if waiting and waiting + prompt > tuning.prefill_budget:
+            return None
+        if ledger.count >= tuning.batch_limit:
+            return None
+        capacity = max(ledger.capacity, 1)
+        limit = tuning.cache_limit * capacity
+        if ledger.count and ledger.cached + request.prompt_tokens > limit:
+            return None
+        peak = ledger.peak_with(self._predict(request, 0))
+        if ledger.count and peak > limit:
+            return None
+        return (peak - tuning.prefix_weight * saved) / capacity
+
+    def _predict(self, request: ReservationRequest, made: int) -> LedgerEntry:
+        remaining = self._estimator.predict_remaining(
+            request.service,
+            request.account,
+            request.class_name,
+            made=made,
+            limit=request.max_tokens,
+            quantile=self._quantile,
+        )
+        return LedgerEntry(request.prompt_tokens + made, remaining)
+
+    def _place(self, waiting: _Waiting, target: str, now: float) -> AddressedReply:
+        request = waiting.request
+        ledger = self._ledgers[target]
+        before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
+        self._hold(request, waiting.instance, target, 0, now)
+        self._prefixes[target].note_sent(request.prefix)
+        self._queue.charge(request.account, request.share, request.prompt_tokens)
+        self._grant_times.append(now)
+        self._forget_old_grants(now)
+        return AddressedReply(waiting.instance, _grant(request, target, before))
+
+    def _hold(
+        self,
+        request: ReservationRequest,
+        instance: str,
+        target: str,
+        made: int,
+        now: float,
+    ) -> None:
+        held = _Held(request, instance, target, made, now)
+        self._held[request.generation_id] = held
+        ledger = self._ledgers.get(target)
+        if ledger is not None:
+            entry = self._predict(request, made)
+            ledger.reserve(request.generation_id, entry, started=made > 0)
+
+    def _drop(self, generation_id: str) -> None:
+        held = self._held.pop(generation_id, None)
+        if held is not None and held.target in self._ledgers:
+            self._ledgers[held.target].release(generation_id)
+
+    def _charge(self, held: _Held, made: int) -> None:
+        tokens = max(made - held.made, 0)
+        if tokens:
+            self._queue.charge(held.request.account, held.request.share, tokens)
+
+    def _raise_quantile(self, preemptions: int) -> None:
+        highest = self._tuning.quantile_bounds[1]
+        raised = self._quantile + self._tuning.quantile_step * min(preemptions, 3)
+        self._quantile = min(raised, highest)
+
+    def _lower_quantile(self, now: float) -> None:
+        lowest = max(self._tuning.quantile, self._tuning.quantile_bounds[0])
+        elapsed = now - self._quantile_at
+        self._quantile_at = now
+        lowered = self._quantile - self._tuning.quantile_decay * elapsed
+        self._quantile = max(lowered, lowest)
+
+
+#: Seconds for which a target is avoided after a failure.
+_TARGET_FAILURES = {
+    ReservationOutcome.TARGET_LOST: 5.0,
+    ReservationOutcome.UNREACHABLE: 2.0,
+    ReservationOutcome.REJECTED: 1.0,
+}
+
+
+def _grant(request: ReservationRequest, target: str, reason: str) -> ReservationGrant:
+    return ReservationGrant(request.generation_id, request.attempt, target, reason)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_bundle_archive.py
@@ -0,0 +1,83 @@
+"""Bundles that the leader hands out."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from heathertack.bundle import (
+    Bundle,
+    compare_bundles,
+    digest_content,
+    pack_bundle,
+    pack_changes,
+    parse_bundle,
+)
+from heathertack.messages import BundlePush
+from heathertack.state import AcceptedBundle
+
+
+class _ArchivedBundle(NamedTuple):
+    """A parsed bundle with its index."""
+
+    log_index: int
+    bundle: Bundle
+    digest: str
+
+
+class BundleArchive:
+    """The current and the previous bundle, packed once for all instances."""
+
+    def __init__(self) -> None:
+        self._accepted: AcceptedBundle | None = None
+        self._current: _ArchivedBundle | None = None
+        self._previous: _ArchivedBundle | None = None
+        self._whole: BundlePush | None = None
+        self._changes: BundlePush | None = None
+
+    @property
+    def log_index(self) -> int:
+        """Index of the current bundle; 0 before the first one."""
+        return self._accepted.log_index if self._accepted is not None else 0
+
+    def store(self, accepted: AcceptedBundle) -> None:
+        """Make a committed bundle the current one."""
+        if accepted.log_index <= self.log_index:
+            return
+        self._previous = self._current
+        self._accepted = accepted
+        self._current = None
+        self._whole = None
+        self._changes = None
+
+    def build_push(self, base_index: int) -> BundlePush | None:
+        """Return what an instance with a given bundle needs."""
+        if self._accepted is None or base_index >= self._accepted.log_index:
+            return None
+        current = self._parse_current(self._accepted)
+        previous = self._previous
+        if previous is not None and previous.log_index == base_index:
+            return self._pack_changes(previous, current)
+        if self._whole is None:
+            data = pack_bundle(current.bundle)
+            self._whole = BundlePush(current.log_index, current.digest, 0, data)
+        return self._whole
+
+    def _parse_current(self, accepted: AcceptedBundle) -> _ArchivedBundle:
+        if self._current is None:
+            bundle = parse_bundle("bundle", accepted.signed.text).unwrap()
+            digest = digest_content(bundle)
+            self._current = _ArchivedBundle(accepted.log_index, bundle, digest)
+        return self._current
+
+    def _pack_changes(
+        self, previous: _ArchivedBundle, current: _ArchivedBundle
+    ) -> BundlePush:
+        if self._changes is None:
+            changes = compare_bundles(previous.bundle, current.bundle)
+            self._changes = BundlePush(
+                current.log_index,
+                current.digest,
+                previous.log_index,
+                pack_changes(changes),
+            )
+        return self._changes
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_call.py
@@ -0,0 +1,216 @@
+"""One call that must run at most once."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, assert_never
+
+from heathertack.controllers._generation import Execution, Refusal
+from heathertack.state import (
+    CallFound,
+    CallOutcome,
+    CallRecord,
+    CallState,
+    ClaimGranted,
+    Result,
+)
+
+
+class CallPhase(StrEnum):
+    """Where a call is."""
+
+    CLAIMING = "claiming"
+    SENDING = "sending"
+    RECORDING = "recording"
+    DONE = "done"
+
+
+class ClaimAnswered(NamedTuple):
+    """The control log answered the claim."""
+
+    result: Result
+
+
+class ClaimTimedOut(NamedTuple):
+    """The claim was not answered in time; it is given up."""
+
+
+class TargetAnswered(NamedTuple):
+    """The target answered the call."""
+
+    outcome: CallOutcome
+
+
+class TargetUnreached(NamedTuple):
+    """No connection to the target was established."""
+
+    #: Whether another target is left.
+    has_alternative: bool
+
+
+class AnswerLost(NamedTuple):
+    """The call may have run, but its answer is lost."""
+
+    detail: str
+
+
+class OutcomeRecorded(NamedTuple):
+    """The outcome is committed."""
+
+
+class RecordingTimedOut(NamedTuple):
+    """The outcome was not committed in time; recording goes on."""
+
+
+Event = (
+    ClaimAnswered
+    | ClaimTimedOut
+    | TargetAnswered
+    | TargetUnreached
+    | AnswerLost
+    | OutcomeRecorded
+    | RecordingTimedOut
+)
+
+
+class SendCall(NamedTuple):
+    """Send the call to the next target."""
+
+
+class SubmitOutcome(NamedTuple):
+    """Record how the call ended."""
+
+    #: Answer of the target, ``None`` for a call that did not run.
+    outcome: CallOutcome | None
+    is_unknown: bool = False
+
+
+class AnswerCaller(NamedTuple):
+    """Give the caller the answer of the target."""
+
+    outcome: CallOutcome
+    #: Whether the answer was recorded earlier.
+    is_replay: bool
+
+
+class RefuseCaller(NamedTuple):
+    """Give the caller a final answer without an outcome."""
+
+    status: int
+    refusal: Refusal
+
+
+Action = SendCall | SubmitOutcome | AnswerCaller | RefuseCaller
+
+_IN_PROGRESS_RETRY_SECONDS = 1.0
+
+
+class CallController:
+    """State machine of one call with an idempotency key.
+
+    Parameters
+    ----------
+    claim_id : str
+        Identifies the claim of this request.
+    body_digest : str
+        Digest of method, path and body.
+    """
+
+    def __init__(self, claim_id: str, body_digest: str) -> None:
+        self._claim_id = claim_id
+        self._body_digest = body_digest
+        self._phase = CallPhase.CLAIMING
+        self._final: Action | None = None
+
+    @property
+    def phase(self) -> CallPhase:
+        """Current phase."""
+        return self._phase
+
+    def handle(self, event: Event) -> tuple[Action, ...]:
+        """Act on an event and return what has to be done, in order."""
+        match event:
+            case ClaimAnswered():
+                return self._take_claim(event.result)
+            case ClaimTimedOut():
+                return self._give_up_claim()
+            case TargetAnswered():
+                answer = AnswerCaller(event.outcome, is_replay=False)
+                return self._record(SubmitOutcome(event.outcome), answer)
+            case TargetUnreached():
+                return self._take_unreached(event.has_alternative)
+            case AnswerLost():
+                return self._take_lost_answer(event.detail)
+            case OutcomeRecorded() | RecordingTimedOut():
+                return self._finish()
+            case _:
+                assert_never(event)
+
+    def _take_claim(self, result: Result) -> tuple[Action, ...]:
+        if self._phase is not CallPhase.CLAIMING:
+            return ()
+        match result:
+            case ClaimGranted():
+                self._phase = CallPhase.SENDING
+                return (SendCall(),)
+            case CallFound():
+                self._phase = CallPhase.DONE
+                return (self._answer_known(result.record),)
+            case _:
+                return self._give_up_claim()
+
+    def _give_up_claim(self) -> tuple[Action, ...]:
+        if self._phase is not CallPhase.CLAIMING:
+            return ()
+        self._phase = CallPhase.DONE
+        message = "the call could not be claimed in the control log"
+        refusal = Refusal("control_unavailable", message, Execution.NOT_RUN, 1.0)
+        return (RefuseCaller(503, refusal),)
+
+    def _answer_known(self, record: CallRecord) -> Action:
+        """Answer a key that was claimed before."""
+        if record.body_digest != self._body_digest:
+            message = "the key was used for another call"
+            refusal = Refusal("key_reused", message, Execution.NOT_RUN)
+            return RefuseCaller(422, refusal)
+        if record.state is CallState.FINISHED and record.outcome is not None:
+            return AnswerCaller(record.outcome, is_replay=True)
+        if record.state is CallState.RUNNING:
+            message = "the call with this key is in progress"
+            wait = _IN_PROGRESS_RETRY_SECONDS
+            refusal = Refusal("in_progress", message, Execution.UNKNOWN, wait)
+            return RefuseCaller(409, refusal)
+        if record.state is CallState.SETTLED:
+            message = f"an operator found that the call ran: {record.note}"
+            refusal = Refusal("settled", message, Execution.COMPLETED)
+            return RefuseCaller(409, refusal)
+        message = "it is not known whether the call ran; it will not run again"
+        refusal = Refusal("outcome_unknown", message, Execution.UNKNOWN)
+        return RefuseCaller(409, refusal)
+
+    def _take_unreached(self, has_alternative: bool) -> tuple[Action, ...]:
+        if self._phase is not CallPhase.SENDING:
+            return ()
+        if has_alternative:
+            return (SendCall(),)
+        message = "no target could be reached"
+        refusal = Refusal("no_target", message, Execution.NOT_RUN, 1.0)
+        return self._record(SubmitOutcome(None), RefuseCaller(503, refusal))
+
+    def _take_lost_answer(self, detail: str) -> tuple[Action, ...]:
+        refusal = Refusal("outcome_unknown", detail, Execution.UNKNOWN)
+        submit = SubmitOutcome(None, is_unknown=True)
+        return self._record(submit, RefuseCaller(502, refusal))
+
+    def _record(self, submit: SubmitOutcome, final: Action) -> tuple[Action, ...]:
+        if self._phase is not CallPhase.SENDING:
+            return ()
+        self._phase = CallPhase.RECORDING
+        self._final = final
+        return (submit,)
+
+    def _finish(self) -> tuple[Action, ...]:
+        if self._phase is not CallPhase.RECORDING or self._final is None:
+            return ()
+        self._phase = CallPhase.DONE
+        return (self._final,)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -0,0 +1,418 @@
+"""Hosts the replica of the control log on one instance."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Any, ClassVar, NamedTuple, assert_never
+
+from returns.result import Failure, Success
+
+from heathertack.blackboard import CONTROL, Blackboard, ControlView, Section
+from heathertack.consensus import (
+    AppendEntries,
+    ApplyEntries,
+    ChangeLeadership,
+    ConsensusMessage,
+    Effect,
+    EntryKind,
+    LogEntry,
+    ProposalError,
+    Replica,
+    ReportRegressedReplica,
+    RestoreSnapshot,
+    SaveHardState,
+    SaveSnapshot,
+    SendMessage,
+    TruncateLog,
+)
+from heathertack.controllers._actions import (
+    AnnounceBundle,
+    AnnounceLeadership,
+    AnswerCommand,
+    SendToPeer,
+)
+from heathertack.messages import ControlStatus, JoinRequest
+from heathertack.state import (
+    COMMAND_CODEC,
+    RESULT_CODEC,
+    ApplyBundle,
+    BarReplica,
+    ClaimCall,
+    Command,
+    ControlStateMachine,
+    Done,
+    ExpireRecords,
+    NotFound,
+    ReportTargetLoss,
+)
+from heathertack.storage import ReplicaStorage
+
+_ENTRIES_PER_SNAPSHOT = 5000
+_EXPIRY_INTERVAL_SECONDS = 60.0
+_CALL_RETENTION_SECONDS = 24 * 3600.0
+_LOSS_RETENTION_SECONDS = 3600.0
+_JOIN_INTERVAL_SECONDS = 1.0
+
+Action = SendToPeer | AnswerCommand | AnnounceBundle | AnnounceLeadership
+
+
+class ConsensusReceived(NamedTuple):
+    """A message of another replica arrived."""
+
+    message: ConsensusMessage
+
+
+class JoinReceived(NamedTuple):
+    """A replica asks to receive the log."""
+
+    request: JoinRequest
+
+
+class CommandSubmitted(NamedTuple):
+    """Somebody wants a command committed."""
+
+    request_id: str
+    #: Instance that submitted it, empty for this one.
+    requester: str
+    command: Command
+    #: Wall clock, seconds since the epoch.
+    wall_time: float
+
+
+class ProposalsDue(NamedTuple):
+    """Submitted commands are to be appended together."""
+
+
+class ReplicaOperation(StrEnum):
+    """Change of the membership that an operator asks for."""
+
+    ADD = "add"
+    REMOVE = "remove"
+
+
+class ChangeReplicas(NamedTuple):
+    """An operator changes the membership."""
+
+    request_id: str
+    operation: ReplicaOperation
+    replica: str
+
+
+class TimePassed(NamedTuple):
+    """The clock advanced."""
+
+    #: Wall clock, seconds since the epoch.
+    wall_time: float
+
+
+Event = (
+    ConsensusReceived
+    | JoinReceived
+    | CommandSubmitted
+    | ProposalsDue
+    | ChangeReplicas
+    | TimePassed
+)
+
+
+class _Pending(NamedTuple):
+    """A command whose result somebody waits for."""
+
+    request_id: str
+    requester: str
+    term: int
+
+
+class ControlLogController:
+    """Drives a replica, its storage and the state machine.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    replica : Replica
+        Replica with the state that ``storage`` holds.
+    storage : ReplicaStorage
+        Where the replica's effects are persisted.
+    machine : ControlStateMachine
+        State machine as of the replica's snapshot.
+    control_peers : tuple of str
+        Other instances that may replicate the log.
+    """
+
+    READS: ClassVar[tuple[Section[Any], ...]] = ()
+    WRITES: ClassVar[tuple[Section[Any], ...]] = (CONTROL,)
+
+    def __init__(
+        self,
+        board: Blackboard,
+        replica: Replica,
+        storage: ReplicaStorage,
+        machine: ControlStateMachine,
+        control_peers: tuple[str, ...],
+    ) -> None:
+        self._board = board
+        self._replica = replica
+        self._storage = storage
+        self._machine = machine
+        self._control_peers = control_peers
+        self._queued: list[CommandSubmitted] = []
+        self._pending: dict[int, _Pending] = {}
+        self._applied_index = replica.commit_index
+        self._actions: list[Action] = []
+        self._next_join = 0.0
+        self._next_expiry = 0.0
+        self._regressed: set[str] = set()
+        board.register(self)
+
+    @property
+    def replica(self) -> Replica:
+        """The hosted replica."""
+        return self._replica
+
+    @property
+    def machine(self) -> ControlStateMachine:
+        """The state machine as of the last applied entry."""
+        return self._machine
+
+    @property
+    def regressed_replicas(self) -> frozenset[str]:
+        """Replicas that lost entries they had acknowledged."""
+        return frozenset(self._regressed)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Act on an event and return what the instance has to do.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of Action
+            Actions in the order in which they are to be carried out.
+        """
+        match event:
+            case ConsensusReceived():
+                self._carry_out(self._replica.handle(event.message, now))
+            case CommandSubmitted():
+                self._queued.append(event)
+            case ProposalsDue():
+                self._propose_queued(now)
+            case JoinReceived():
+                self._admit(event.request.replica, now)
+            case ChangeReplicas():
+                self._change_replicas(event, now)
+            case TimePassed():
+                self._pass_time(event.wall_time, now)
+            case _:
+                assert_never(event)
+        self._publish(now)
+        return self._take_actions()
+
+    def _take_actions(self) -> tuple[Action, ...]:
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def _publish(self, now: float) -> None:
+        replica = self._replica
+        bundle = self._machine.bundle
+        view = ControlView(
+            is_leader=replica.has_lease(now),
+            term=replica.term,
+            lease_until=replica.lease_expiry(now),
+            bundle_index=bundle.log_index if bundle is not None else 0,
+            suspects=tuple(
+                (record.fingerprint, len(record.losses))
+                for record in self._machine.losses
+            ),
+            draining=self._machine.draining,
+        )
+        if view != self._board.read(CONTROL):
+            self._board.write(self, CONTROL, view)
+
+    def _propose_queued(self, now: float) -> None:
+        submitted = tuple(self._queued)
+        self._queued.clear()
+        if not submitted:
+            return
+        payloads = tuple(COMMAND_CODEC.encode(_stamp(item)) for item in submitted)
+        result, effects = self._replica.propose(payloads, now)
+        match result:
+            case Success(proposal):
+                for offset, item in enumerate(submitted):
+                    pending = _Pending(item.request_id, item.requester, proposal.term)
+                    self._pending[proposal.first_index + offset] = pending
+            case Failure(_):
+                for item in submitted:
+                    self._answer_failure(
+                        item.request_id, item.requester, ControlStatus.NOT_LEADER
+                    )
+        self._carry_out(effects)
+
+    def _pass_time(self, wall_time: float, now: float) -> None:
+        self._carry_out(self._replica.tick(now))
+        if self._replica.name not in self._replica.membership.replicas:
+            self._ask_to_join(now)
+        if not self._replica.has_lease(now):
+            return
+        self._remove_replaced(now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + _EXPIRY_INTERVAL_SECONDS
+            expire = ExpireRecords(
+                wall_time - _CALL_RETENTION_SECONDS,
+                wall_time - _LOSS_RETENTION_SECONDS,
+            )
+            self._queued.append(CommandSubmitted("", "", expire, wall_time))
+            self._propose_queued(now)
+
+    def _ask_to_join(self, now: float) -> None:
+        if now < self._next_join:
+            return
+        self._next_join = now + _JOIN_INTERVAL_SECONDS
+        for instance in self._control_peers:
+            request = JoinRequest(self._replica.name)
+            self._actions.append(SendToPeer(instance, request))
+
+    def _admit(self, replica: str, now: float) -> None:
+        if replica in self._machine.barred or not self._replica.has_lease(now):
+            return
+        _, effects = self._replica.add_learner(replica, now)
+        self._carry_out(effects)
+
+    def _remove_replaced(self, now: float) -> None:
+        """Remove a replica whose instance votes with a newer storage identity."""
+        voters = self._replica.membership.voters
+        newest = {instance_of(voter): voter for voter in voters}
+        for voter in voters:
+            if newest[instance_of(voter)] != voter:
+                self._remove(voter, now)
+                return
+
+    def _remove(self, replica: str, now: float) -> ProposalError | None:
+        result, effects = self._replica.remove_replica(replica, now)
+        self._carry_out(effects)
+        if isinstance(result, Failure):
+            error: ProposalError = result.failure()
+            return error
+        self._queued.append(CommandSubmitted("", "", BarReplica(replica), 0.0))
+        self._propose_queued(now)
+        return None
+
+    def _change_replicas(self, event: ChangeReplicas, now: float) -> None:
+        if event.operation is ReplicaOperation.ADD:
+            result, effects = self._replica.add_learner(event.replica, now)
+            self._carry_out(effects)
+            error = result.failure() if isinstance(result, Failure) else None
+        else:
+            error = self._remove(event.replica, now)
+        if error is ProposalError.NOT_LEADER:
+            self._answer_failure(event.request_id, "", ControlStatus.NOT_LEADER)
+            return
+        answer = Done() if error is None else NotFound(error.value)
+        self._answer(event.request_id, "", RESULT_CODEC.encode(answer))
+
+    def _carry_out(self, effects: tuple[Effect, ...]) -> None:
+        for effect in effects:
+            match effect:
+                case SaveHardState():
+                    self._storage.save_hard_state(effect.hard_state)
+                case AppendEntries():
+                    self._storage.append(effect.entries)
+                case TruncateLog():
+                    self._storage.truncate(effect.first_index)
+                case SaveSnapshot():
+                    self._storage.save_snapshot(effect.snapshot)
+                case RestoreSnapshot():
+                    self._restore(effect.snapshot.log_index, effect.snapshot.data)
+                case SendMessage():
+                    self._storage.sync()
+                    instance = instance_of(effect.to)
+                    self._actions.append(SendToPeer(instance, effect.message))
+                case ApplyEntries():
+                    self._storage.sync()
+                    self._apply(effect.entries)
+                case ChangeLeadership():
+                    self._change_leadership(effect)
+                case ReportRegressedReplica():
+                    self._regressed.add(effect.replica)
+                case _:
+                    assert_never(effect)
+        self._storage.sync()
+
+    def _restore(self, index: int, data: bytes) -> None:
+        self._machine.restore_snapshot(data)
+        self._applied_index = index
+        if self._machine.bundle is not None:
+            self._actions.append(AnnounceBundle(self._machine.bundle))
+
+    def _apply(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            self._applied_index = entry.log_index
+            result = self._apply_entry(entry)
+            pending = self._pending.pop(entry.log_index, None)
+            if pending is None:
+                continue
+            if pending.term == entry.term:
+                self._answer(pending.request_id, pending.requester, result)
+            else:
+                self._answer_failure(
+                    pending.request_id, pending.requester, ControlStatus.UNAVAILABLE
+                )
+        if self._replica.log_length >= _ENTRIES_PER_SNAPSHOT:
+            data = self._machine.encode_snapshot()
+            self._carry_out(self._replica.take_snapshot(self._applied_index, data))
+
+    def _apply_entry(self, entry: LogEntry) -> bytes:
+        if entry.kind != EntryKind.COMMAND:
+            return b""
+        command = COMMAND_CODEC.decode(entry.payload).unwrap()
+        before = self._machine.bundle
+        result = self._machine.apply(entry.log_index, command)
+        after = self._machine.bundle
+        if after is not None and after is not before:
+            self._actions.append(AnnounceBundle(after))
+        return RESULT_CODEC.encode(result)
+
+    def _change_leadership(self, effect: ChangeLeadership) -> None:
+        self._actions.append(AnnounceLeadership(effect.term, effect.is_leader))
+        if effect.is_leader:
+            return
+        for pending in self._pending.values():
+            self._answer_failure(
+                pending.request_id, pending.requester, ControlStatus.UNAVAILABLE
+            )
+        self._pending.clear()
+
+    def _answer(self, request_id: str, requester: str, result: bytes) -> None:
+        if request_id:
+            leader = instance_of(self._replica.leader)
+            self._actions.append(
+                AnswerCommand(request_id, requester, ControlStatus.DONE, leader, result)
+            )
+
+    def _answer_failure(
+        self, request_id: str, requester: str, status: ControlStatus
+    ) -> None:
+        if request_id:
+            leader = instance_of(self._replica.leader)
+            self._actions.append(
+                AnswerCommand(request_id, requester, status, leader, b"")
+            )
+
+
+def instance_of(replica: str) -> str:
+    """Return the instance that a replica runs on."""
+    return replica.partition("/")[0]
+
+
+def _stamp(submitted: CommandSubmitted) -> Command:
+    """Return the command with the leader's time, where it carries one."""
+    command = submitted.command
+    if isinstance(command, ApplyBundle | ClaimCall | ReportTargetLoss):
+        return command._replace(at=submitted.wall_time)
+    return command
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -0,0 +1,283 @@
+"""The leader's tables of members and targets, and the leases it grants."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, NamedTuple, assert_never
+
+from heathertack.blackboard import CONTROL, Blackboard, ControlView, Section
+from heathertack.controllers._actions import (
+    ConfirmBundleInForce,
+    ProposeCommand,
+    SendToPeer,
+)
+from heathertack.controllers._bundle_archive import BundleArchive
+from heathertack.controllers._control_log import TimePassed
+from heathertack.controllers._lease_timings import LeaseTimings
+from heathertack.controllers._tables import VersionedTable
+from heathertack.messages import (
+    LeaderHint,
+    LeaseGrant,
+    LeaseRequest,
+    MemberRecord,
+    MemberState,
+    TableVersion,
+    TargetRecord,
+    TargetState,
+)
+from heathertack.state import AcceptedBundle, MarkOwnerLost
+
+_CLOCK_DRIFT_FACTOR = 1.1
+
+
+class LeaseRequested(NamedTuple):
+    """An instance asks for a lease."""
+
+    request: LeaseRequest
+
+
+class BundleCommitted(NamedTuple):
+    """A bundle was committed."""
+
+    accepted: AcceptedBundle
+
+
+class PlatformListed(NamedTuple):
+    """The platform listed its live and leaving instances."""
+
+    targets: tuple[TargetRecord, ...]
+
+
+class LeavingReported(NamedTuple):
+    """Somebody saw that a target is leaving."""
+
+    target: str
+
+
+Event = LeaseRequested | BundleCommitted | PlatformListed | LeavingReported | TimePassed
+Action = SendToPeer | ProposeCommand | ConfirmBundleInForce
+
+
+class _Holder(NamedTuple):
+    """What the leader knows of an instance that asked for leases."""
+
+    request: LeaseRequest
+    #: When the latest request came.
+    heard_at: float
+    #: Latest time at which a lease of this leader may count there.
+    granted_until: float
+
+
+class LeaseGrantorController:
+    """Grants bundle leases while this instance leads.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    instance : str
+        Name of this instance.
+    timings : LeaseTimings
+        Intervals, seconds.
+    """
+
+    READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL,)
+    WRITES: ClassVar[tuple[Section[Any], ...]] = ()
+
+    def __init__(self, board: Blackboard, instance: str, timings: LeaseTimings) -> None:
+        self._board = board
+        self._instance = instance
+        self._timings = timings
+        self._archive = BundleArchive()
+        self._term = 0
+        self._led_since = 0.0
+        self._sequence = 0
+        self._members: VersionedTable[MemberRecord] = VersionedTable(self._count)
+        self._targets: VersionedTable[TargetRecord] = VersionedTable(self._count)
+        self._holders: dict[str, _Holder] = {}
+        self._confirmed_index = 0
+        self._committed_at = 0.0
+        board.register(self)
+
+    @property
+    def in_force_index(self) -> int:
+        """Index of the latest bundle known to be in force everywhere."""
+        return self._confirmed_index
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Act on an event and return what the instance has to do.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of Action
+            Messages, commands and confirmations.
+        """
+        control = self._board.read(CONTROL)
+        if isinstance(event, BundleCommitted):
+            self._archive.store(event.accepted)
+            self._committed_at = now
+        if not control.may_lead(now):
+            return self._decline(event)
+        self._follow_term(control.term, now)
+        match event:
+            case LeaseRequested():
+                return self._grant(event.request, control, now)
+            case BundleCommitted():
+                return self._push_everywhere(control, now)
+            case PlatformListed():
+                return self._store_platform(event.targets, control, now)
+            case LeavingReported():
+                return self._store_leaving(event.target, control, now)
+            case TimePassed():
+                return self._expire_members(now) + self._confirm_bundle(now)
+            case _:
+                assert_never(event)
+
+    def _count(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _decline(self, event: Event) -> tuple[Action, ...]:
+        if isinstance(event, LeaseRequested):
+            return (SendToPeer(event.request.instance, LeaderHint("")),)
+        return ()
+
+    def _follow_term(self, term: int, now: float) -> None:
+        """Start with empty tables when this instance leads a new term."""
+        if term == self._term:
+            return
+        self._term = term
+        self._led_since = now
+        self._sequence = 0
+        self._members.clear()
+        self._targets.clear()
+        self._holders.clear()
+
+    def _grant(
+        self, request: LeaseRequest, control: ControlView, now: float
+    ) -> tuple[Action, ...]:
+        known = self._holders.get(request.instance)
+        if known is not None and known.request.incarnation > request.incarnation:
+            return ()
+        actions: list[Action] = []
+        if known is not None and known.request.incarnation < request.incarnation:
+            lost = MarkOwnerLost(request.instance, request.incarnation - 1)
+            actions.append(ProposeCommand(lost))
+        if known is None:
+            lost = MarkOwnerLost(request.instance, request.incarnation - 1)
+            actions.append(ProposeCommand(lost))
+        life = self._timings.duration * _CLOCK_DRIFT_FACTOR
+        self._holders[request.instance] = _Holder(request, now, now + life)
+        self._members.put(request.instance, _describe_member(request, control))
+        actions.append(self._build_grant(request, control, now))
+        return (*actions, *self._confirm_bundle(now))
+
+    def _build_grant(
+        self, request: LeaseRequest, control: ControlView, now: float
+    ) -> SendToPeer:
+        is_full = request.table.term != self._term
+        since = 0 if is_full else request.table.sequence
+        grant = LeaseGrant(
+            term=self._term,
+            leader=self._instance,
+            incarnation=request.incarnation,
+            bundle_index=self._archive.log_index,
+            bundle=self._archive.build_push(request.bundle_index),
+            duration=self._timings.duration,
+            sent_at=request.sent_at,
+            table=TableVersion(self._term, self._sequence),
+            is_full=is_full,
+            is_settled=now >= self._led_since + self._timings.settling,
+            members=self._members.changes_since(since),
+            targets=self._targets.changes_since(since),
+            suspects=control.suspects,
+        )
+        return SendToPeer(request.instance, grant)
+
+    def _push_everywhere(self, control: ControlView, now: float) -> tuple[Action, ...]:
+        """Send every holder what changed, without extending its lease."""
+        holders = [h for h in self._holders.values() if now < h.granted_until]
+        pushes = tuple(self._build_grant(h.request, control, now) for h in holders)
+        return (*pushes, *self._confirm_bundle(now))
+
+    def _store_platform(
+        self, listed: tuple[TargetRecord, ...], control: ControlView, now: float
+    ) -> tuple[Action, ...]:
+        names = {target.name for target in listed}
+        changed = False
+        for target in listed:
+            known = self._targets.find(target.name)
+            if _is_known_leaving(known, target):
+                continue
+            changed |= self._targets.put(target.name, target)
+        for name in tuple(self._targets):
+            known = self._targets.find(name)
+            if name not in names and known is not None:
+                gone = known._replace(state=TargetState.GONE)
+                changed |= self._targets.put(name, gone)
+        return self._push_everywhere(control, now) if changed else ()
+
+    def _store_leaving(
+        self, target: str, control: ControlView, now: float
+    ) -> tuple[Action, ...]:
+        known = self._targets.find(target)
+        if known is None or known.state is not TargetState.LIVE:
+            return ()
+        self._targets.put(target, known._replace(state=TargetState.LEAVING))
+        return self._push_everywhere(control, now)
+
+    def _expire_members(self, now: float) -> tuple[Action, ...]:
+        limit = now - self._timings.member_timeout
+        lost = [h for h in self._holders.values() if h.heard_at < limit]
+        actions: list[Action] = []
+        for holder in lost:
+            request = holder.request
+            del self._holders[request.instance]
+            record = self._members.find(request.instance)
+            if record is not None:
+                gone = record._replace(state=MemberState.GONE)
+                self._members.put(request.instance, gone)
+            command = MarkOwnerLost(request.instance, request.incarnation)
+            actions.append(ProposeCommand(command))
+        return tuple(actions)
+
+    def _confirm_bundle(self, now: float) -> tuple[Action, ...]:
+        """Confirm the current bundle once no instance can use an older one."""
+        index = self._archive.log_index
+        if index <= self._confirmed_index:
+            return ()
+        old_leases_end = self._led_since + self._timings.duration * _CLOCK_DRIFT_FACTOR
+        if now < old_leases_end:
+            return ()
+        for holder in self._holders.values():
+            is_behind = holder.request.bundle_index < index
+            if is_behind and now < holder.granted_until:
+                return ()
+        self._confirmed_index = index
+        return (ConfirmBundleInForce(index),)
+
+
+def _describe_member(request: LeaseRequest, control: ControlView) -> MemberRecord:
+    is_leaving = request.leaving or request.instance in control.draining
+    return MemberRecord(
+        instance=request.instance,
+        incarnation=request.incarnation,
+        state=MemberState.LEAVING if is_leaving else MemberState.ALIVE,
+        http_address=request.http_address,
+        failure_domain=request.failure_domain,
+        bundle_index=request.bundle_index,
+        load=request.load,
+    )
+
+
+def _is_known_leaving(known: TargetRecord | None, listed: TargetRecord) -> bool:
+    """Tell whether the list lags behind a notice that the target is leaving."""
+    if known is None or known.address != listed.address:
+        return False
+    return known.state is TargetState.LEAVING and listed.state is TargetState.LIVE
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -0,0 +1,236 @@
+"""Keeps the bundle lease of one instance and its view of the tables."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, NamedTuple, assert_never
+
+from heathertack.blackboard import (
+    BUNDLE,
+    DRAIN,
+    LEASE,
+    MEMBERS,
+    SUSPECTS,
+    TARGETS,
+    Blackboard,
+    BundleView,
+    LeaseView,
+    Section,
+)
+from heathertack.bundle import (
+    Bundle,
+    apply_changes,
+    digest_content,
+    index_accounts,
+    unpack_bundle,
+    unpack_changes,
+)
+from heathertack.controllers._actions import SendToPeer
+from heathertack.controllers._lease_timings import LeaseTimings
+from heathertack.messages import (
+    BundlePush,
+    LeaderHint,
+    LeaseGrant,
+    LeaseRequest,
+    TableVersion,
+)
+
+
+class LeaseDue(NamedTuple):
+    """The clock advanced."""
+
+
+class GrantReceived(NamedTuple):
+    """A leader answered or pushed a change."""
+
+    grant: LeaseGrant
+
+
+class HintReceived(NamedTuple):
+    """A control instance that does not lead answered."""
+
+    hint: LeaderHint
+
+
+Event = LeaseDue | GrantReceived | HintReceived
+
+
+class InstanceIdentity(NamedTuple):
+    """What an instance says of itself."""
+
+    instance: str
+    incarnation: int
+    http_address: str
+    failure_domain: str
+
+
+class LeaseHolderController:
+    """Requests leases and takes over what the leader confirms.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    identity : InstanceIdentity
+        What this instance says of itself.
+    control_instances : tuple of str
+        Instances that may lead, this one included if it has a disk.
+    timings : LeaseTimings
+        Intervals, seconds.
+    """
+
+    READS: ClassVar[tuple[Section[Any], ...]] = (DRAIN,)
+    WRITES: ClassVar[tuple[Section[Any], ...]] = (
+        BUNDLE,
+        LEASE,
+        MEMBERS,
+        SUSPECTS,
+        TARGETS,
+    )
+
+    def __init__(
+        self,
+        board: Blackboard,
+        identity: InstanceIdentity,
+        control_instances: tuple[str, ...],
+        timings: LeaseTimings,
+    ) -> None:
+        self._board = board
+        self._identity = identity
+        self._control_instances = control_instances
+        self._timings = timings
+        self._candidate = 0
+        self._leader = ""
+        self._term = 0
+        self._table = TableVersion()
+        self._next_request = float("-inf")
+        self._unanswered_since: float | None = None
+        board.register(self)
+
+    @property
+    def next_deadline(self) -> float:
+        """Time of the next request."""
+        return self._next_request
+
+    def handle(self, event: Event, now: float) -> tuple[SendToPeer, ...]:
+        """Act on an event and return the messages to send.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of SendToPeer
+            Requests for leases.
+        """
+        match event:
+            case LeaseDue():
+                return self._request(now) if now >= self._next_request else ()
+            case GrantReceived():
+                return self._take_grant(event.grant, now)
+            case HintReceived():
+                return self._follow_hint(event.hint, now)
+            case _:
+                assert_never(event)
+
+    def _request(self, now: float) -> tuple[SendToPeer, ...]:
+        waited_since = self._unanswered_since
+        if waited_since is None:
+            self._unanswered_since = now
+        elif now - waited_since >= self._timings.answer_timeout:
+            self._choose_next_candidate()
+            self._unanswered_since = now
+        self._next_request = now + self._timings.renewal
+        if not self._control_instances:
+            return ()
+        drain = self._board.read(DRAIN)
+        request = LeaseRequest(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            http_address=self._identity.http_address,
+            failure_domain=self._identity.failure_domain,
+            leaving=drain.leaving,
+            load=_round_load(drain.open_requests),
+            bundle_index=self._board.read(BUNDLE).log_index,
+            table=self._table,
+            sent_at=now,
+        )
+        leader = self._leader or self._control_instances[self._candidate]
+        return (SendToPeer(leader, request),)
+
+    def _choose_next_candidate(self) -> None:
+        self._leader = ""
+        self._candidate = (self._candidate + 1) % max(len(self._control_instances), 1)
+
+    def _follow_hint(self, hint: LeaderHint, now: float) -> tuple[SendToPeer, ...]:
+        if hint.leader in self._control_instances:
+            self._leader = hint.leader
+            return self._request(now)
+        self._choose_next_candidate()
+        self._unanswered_since = None
+        return ()
+
+    def _take_grant(self, grant: LeaseGrant, now: float) -> tuple[SendToPeer, ...]:
+        current = self._board.read(BUNDLE)
+        is_foreign = grant.incarnation != self._identity.incarnation
+        is_old = grant.term < self._term or grant.bundle_index < current.log_index
+        if is_foreign or is_old:
+            return ()
+        self._term = grant.term
+        self._leader = grant.leader
+        self._unanswered_since = None
+        if grant.bundle_index > current.log_index:
+            bundle = _open_push(grant.bundle, current)
+            if bundle is None or grant.bundle is None:
+                return self._request(now)
+            view = BundleView(grant.bundle.log_index, bundle, index_accounts(bundle))
+            self._board.write(self, BUNDLE, view)
+        self._take_tables(grant)
+        lease = self._board.read(LEASE)
+        valid_until = max(lease.valid_until, grant.sent_at + grant.duration)
+        self._board.write(self, LEASE, LeaseView(valid_until, grant.leader))
+        if grant.bundle_index > current.log_index:
+            return self._request(now)
+        return ()
+
+    def _take_tables(self, grant: LeaseGrant) -> None:
+        is_next = grant.table.term == self._table.term
+        if not grant.is_full and not is_next:
+            return
+        if is_next and grant.table.sequence < self._table.sequence:
+            return
+        replaces = grant.is_full and grant.is_settled
+        known_members = self._board.read(MEMBERS)
+        members = {} if replaces else dict(known_members)
+        members.update({record.instance: record for record in grant.members})
+        known_targets = self._board.read(TARGETS)
+        targets = {} if replaces else dict(known_targets)
+        targets.update({record.name: record for record in grant.targets})
+        self._board.write(self, MEMBERS, members)
+        self._board.write(self, TARGETS, targets)
+        suspects = dict(grant.suspects)
+        if suspects != self._board.read(SUSPECTS):
+            self._board.write(self, SUSPECTS, suspects)
+        if grant.is_settled or not grant.is_full:
+            self._table = grant.table
+
+
+def _open_push(push: BundlePush | None, current: BundleView) -> Bundle | None:
+    """Return the pushed bundle, ``None`` where it does not fit the current one."""
+    if push is None:
+        return None
+    if push.base_index == 0:
+        bundle = unpack_bundle(push.data)
+    elif push.base_index == current.log_index and current.bundle is not None:
+        bundle = apply_changes(current.bundle, unpack_changes(push.data))
+    else:
+        return None
+    return bundle if digest_content(bundle) == push.digest else None
+
+
+def _round_load(open_requests: int) -> int:
+    """Return the power of two at or below a number, 0 for 0."""
+    return 1 << (open_requests.bit_length() - 1) if open_requests else 0
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -0,0 +1,320 @@
+"""Asks the admission owners for targets on behalf of one entry."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, NamedTuple, assert_never
+
+from heathertack.blackboard import (
+    MEMBERS,
+    TARGET_HEALTH,
+    TARGETS,
+    Blackboard,
+    Section,
+)
+from heathertack.controllers._actions import SendToPeer
+from heathertack.controllers._admission import divide_targets
+from heathertack.controllers._target_health import find_usable_targets
+from heathertack.messages import (
+    MemberState,
+    ProgressItem,
+    ReservationAnnounce,
+    ReservationGrant,
+    ReservationOutcome,
+    ReservationProgress,
+    ReservationQueued,
+    ReservationRefusal,
+    ReservationRelease,
+    ReservationRequest,
+    ReservationUnknown,
+)
+from heathertack.policy import choose_owner
+
+_RESEND_SECONDS = 0.4
+_QUEUED_RESEND_SECONDS = 1.0
+_OWNER_SILENCE_SECONDS = 1.2
+_PROGRESS_SECONDS = 1.0
+
+
+class PlacementWanted(NamedTuple):
+    """A generation needs a target. The group of the request is filled in here."""
+
+    request: ReservationRequest
+
+
+class OwnerReplied(NamedTuple):
+    """An admission owner answered."""
+
+    reply: (
+        ReservationGrant | ReservationRefusal | ReservationQueued | ReservationUnknown
+    )
+
+
+class TokensMade(NamedTuple):
+    """A generation made tokens."""
+
+    generation_id: str
+    made: int
+
+
+class PlacementEnded(NamedTuple):
+    """A generation no longer needs its target."""
+
+    generation_id: str
+    outcome: ReservationOutcome
+
+
+class PlacementDue(NamedTuple):
+    """The clock advanced."""
+
+
+Event = PlacementWanted | OwnerReplied | TokensMade | PlacementEnded | PlacementDue
+
+
+class TargetChosen(NamedTuple):
+    """A generation may use a target."""
+
+    generation_id: str
+    attempt: int
+    target: str
+    reason: str
+
+
+class PlacementDenied(NamedTuple):
+    """A generation gets no target."""
+
+    generation_id: str
+    attempt: int
+    code: str
+    #: When coming back can help, seconds.
+    retry_after: float
+    reason: str
+
+
+Action = SendToPeer | TargetChosen | PlacementDenied
+
+
+class _Placement(NamedTuple):
+    """What the entry knows of one generation."""
+
+    request: ReservationRequest
+    owner: str
+    #: When an owner was first asked, or last heard of.
+    heard_at: float
+    next_send: float
+    target: str = ""
+    made: int = 0
+    reported: int = 0
+
+
+class PlacementController:
+    """Keeps the reservations of one entry.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    """
+
+    READS: ClassVar[tuple[Section[Any], ...]] = (MEMBERS, TARGETS, TARGET_HEALTH)
+    WRITES: ClassVar[tuple[Section[Any], ...]] = ()
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        self._placements: dict[str, _Placement] = {}
+        self._next_progress = 0.0
+        self._turn = 0
+        board.register(self)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Act on an event and return what the instance has to do.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of Action
+            Messages to owners and decisions for generations.
+        """
+        match event:
+            case PlacementWanted():
+                return self._ask(event.request, now)
+            case OwnerReplied():
+                return self._take_reply(event, now)
+            case TokensMade():
+                return self._note_tokens(event, now)
+            case PlacementEnded():
+                return self._end(event)
+            case PlacementDue():
+                return self._pass_time(now)
+            case _:
+                assert_never(event)
+
+    def _ask(self, request: ReservationRequest, now: float) -> tuple[Action, ...]:
+        groups = [
+            name
+            for name in divide_targets(self._board.read(TARGETS))
+            if name.rpartition(":")[0] == request.service
+        ]
+        if not groups:
+            return (_deny(request, "no_target", 1.0, "no target is live"),)
+        self._turn += 1
+        request = request._replace(group=groups[self._turn % len(groups)])
+        owner = self._find_owner(request.group)
+        if owner is None:
+            return self._choose_locally(request, now)
+        placement = _Placement(request, owner, now, now + _RESEND_SECONDS)
+        self._placements[request.generation_id] = placement
+        return (SendToPeer(owner, request),)
+
+    def _find_owner(self, group: str) -> str | None:
+        members = self._board.read(MEMBERS).values()
+        alive = [m.instance for m in members if m.state is MemberState.ALIVE]
+        return choose_owner(group, alive)
+
+    def _choose_locally(
+        self, request: ReservationRequest, now: float
+    ) -> tuple[Action, ...]:
+        """Choose the target with the fewest own generations, without an owner."""
+        usable = find_usable_targets(self._board, request.service, now)
+        counts = {target.name: 0 for target in usable}
+        for placement in self._placements.values():
+            if placement.target in counts:
+                counts[placement.target] += 1
+        names = [name for name in counts if name not in request.excluded]
+        names = names or list(counts)
+        if not names:
+            return (_deny(request, "no_target", 1.0, "no target is live"),)
+        target = min(names, key=lambda name: (counts[name], name))
+        self._placements[request.generation_id] = _Placement(
+            request, "", now, float("inf"), target
+        )
+        return (_choose(request, target, "the admission owner did not answer"),)
+
+    def _take_reply(self, event: OwnerReplied, now: float) -> tuple[Action, ...]:
+        reply = event.reply
+        if isinstance(reply, ReservationUnknown):
+            return self._announce(reply.generation_ids)
+        placement = self._placements.get(reply.generation_id)
+        if placement is None or placement.request.attempt != reply.attempt:
+            return ()
+        if placement.target:
+            return ()
+        match reply:
+            case ReservationGrant():
+                self._placements[reply.generation_id] = placement._replace(
+                    heard_at=now, target=reply.target
+                )
+                return (_choose(placement.request, reply.target, reply.reason),)
+            case ReservationRefusal():
+                del self._placements[reply.generation_id]
+                denied = _deny(
+                    placement.request, reply.code, reply.retry_after, reply.reason
+                )
+                return (denied,)
+            case ReservationQueued():
+                self._placements[reply.generation_id] = placement._replace(
+                    heard_at=now, next_send=now + _QUEUED_RESEND_SECONDS
+                )
+                return ()
+            case _:
+                assert_never(reply)
+
+    def _announce(self, generation_ids: tuple[str, ...]) -> tuple[Action, ...]:
+        actions: list[Action] = []
+        for generation_id in generation_ids:
+            placement = self._placements.get(generation_id)
+            if placement is not None and placement.target and placement.owner:
+                announce = ReservationAnnounce(
+                    placement.request, placement.target, placement.made
+                )
+                actions.append(SendToPeer(placement.owner, announce))
+        return tuple(actions)
+
+    def _note_tokens(self, event: TokensMade, now: float) -> tuple[Action, ...]:
+        placement = self._placements.get(event.generation_id)
+        if placement is None:
+            return ()
+        is_first = placement.made == 0
+        placement = placement._replace(made=event.made)
+        self._placements[event.generation_id] = placement
+        if not is_first or not placement.owner:
+            return ()
+        item = ProgressItem(event.generation_id, event.made)
+        progress = ReservationProgress(placement.request.group, (item,))
+        return (SendToPeer(placement.owner, progress),)
+
+    def _end(self, event: PlacementEnded) -> tuple[Action, ...]:
+        placement = self._placements.pop(event.generation_id, None)
+        if placement is None or not placement.owner:
+            return ()
+        release = ReservationRelease(
+            placement.request.group,
+            event.generation_id,
+            placement.request.attempt,
+            event.outcome,
+            placement.made,
+        )
+        return (SendToPeer(placement.owner, release),)
+
+    def _pass_time(self, now: float) -> tuple[Action, ...]:
+        actions: list[Action] = []
+        for placement in tuple(self._placements.values()):
+            if not placement.target and now >= placement.next_send:
+                actions.extend(self._ask_again(placement, now))
+        if now >= self._next_progress:
+            self._next_progress = now + _PROGRESS_SECONDS
+            actions.extend(self._follow_owners())
+            actions.extend(self._report_progress())
+        return tuple(actions)
+
+    def _ask_again(self, placement: _Placement, now: float) -> tuple[Action, ...]:
+        request = placement.request
+        owner = self._find_owner(request.group)
+        is_silent = now - placement.heard_at >= _OWNER_SILENCE_SECONDS
+        if owner is None or (is_silent and owner == placement.owner):
+            return self._choose_locally(request, now)
+        if owner != placement.owner:
+            placement = placement._replace(owner=owner, heard_at=now)
+        self._placements[request.generation_id] = placement._replace(
+            next_send=now + _RESEND_SECONDS
+        )
+        return (SendToPeer(owner, request),)
+
+    def _follow_owners(self) -> tuple[Action, ...]:
+        """Announce reservations in use to owners that changed."""
+        actions: list[Action] = []
+        for generation_id, placement in tuple(self._placements.items()):
+            owner = self._find_owner(placement.request.group)
+            if placement.target and owner is not None and owner != placement.owner:
+                self._placements[generation_id] = placement._replace(owner=owner)
+                actions.extend(self._announce((generation_id,)))
+        return tuple(actions)
+
+    def _report_progress(self) -> tuple[Action, ...]:
+        items: dict[tuple[str, str], list[ProgressItem]] = {}
+        for generation_id, placement in self._placements.items():
+            if placement.target and placement.owner:
+                key = (placement.owner, placement.request.group)
+                item = ProgressItem(generation_id, placement.made)
+                items.setdefault(key, []).append(item)
+        return tuple(
+            SendToPeer(owner, ReservationProgress(group, tuple(progress)))
+            for (owner, group), progress in items.items()
+        )
+
+
+def _choose(request: ReservationRequest, target: str, reason: str) -> TargetChosen:
+    return TargetChosen(request.generation_id, request.attempt, target, reason)
+
+
+def _deny(
+    request: ReservationRequest, code: str, retry_after: float, reason: str
+) -> PlacementDenied:
+    return PlacementDenied(
+        request.generation_id, request.attempt, code, retry_after, reason
+    )
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_tables.py
@@ -0,0 +1,53 @@
+"""Tables that know what changed since an earlier version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+Record = TypeVar("Record")
+
+
+class _Row(NamedTuple, Generic[Record]):
+    """A record with the sequence number of its latest change."""
+
+    record: Record
+    sequence: int
+
+
+class VersionedTable(Generic[Record]):
+    """Records by name, with the sequence number of their latest change.
+
+    Parameters
+    ----------
+    next_sequence : callable
+        Returns the number of the next change.
+    """
+
+    def __init__(self, next_sequence: Callable[[], int]) -> None:
+        self._rows: dict[str, _Row[Record]] = {}
+        self._next_sequence = next_sequence
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._rows)
+
+    def find(self, name: str) -> Record | None:
+        """Return a record."""
+        row = self._rows.get(name)
+        return row.record if row is not None else None
+
+    def put(self, name: str, record: Record) -> bool:
+        """Set a record, and tell whether that changed it."""
+        if self.find(name) == record:
+            return False
+        self._rows[name] = _Row(record, self._next_sequence())
+        return True
+
+    def clear(self) -> None:
+        """Remove all records."""
+        self._rows.clear()
+
+    def changes_since(self, sequence: int) -> tuple[Record, ...]:
+        """Return the records that changed after a sequence number."""
+        rows = self._rows.values()
+        return tuple(row.record for row in rows if row.sequence > sequence)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -0,0 +1,108 @@
+"""Messages between entries and the admission owner of a group of targets."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class ReservationRequest(NamedTuple):
+    """Asks the admission owner of a group for a target."""
+
+    generation_id: str
+    #: Number of the attempt, from 1.
+    attempt: int
+    service: str
+    group: str
+    account: str
+    class_name: str
+    #: The higher one goes first.
+    priority: int
+    #: Weight of the client account.
+    share: float
+    prompt_tokens: int
+    #: Most tokens that the answer may have.
+    max_tokens: int
+    #: Digests of the prompt's leading blocks, shortest prefix first.
+    prefix: tuple[int, ...]
+    fingerprint: str
+    #: Targets that this generation has already lost.
+    excluded: tuple[str, ...]
+    #: Longest wait from now on, seconds.
+    patience: float
+
+
+class ReservationGrant(NamedTuple):
+    """Names the target that a generation may use."""
+
+    generation_id: str
+    attempt: int
+    target: str
+    #: Why the target was chosen, for operators.
+    reason: str
+
+
+class ReservationRefusal(NamedTuple):
+    """Tells that a generation will not be placed."""
+
+    generation_id: str
+    attempt: int
+    code: str
+    #: When coming back can help, seconds.
+    retry_after: float
+    reason: str
+
+
+class ReservationQueued(NamedTuple):
+    """Tells that a generation waits for a target."""
+
+    generation_id: str
+    attempt: int
+
+
+class ReservationAnnounce(NamedTuple):
+    """Tells a new owner of a reservation that is in use."""
+
+    request: ReservationRequest
+    target: str
+    made: int
+
+
+class ProgressItem(NamedTuple):
+    """Tokens that one generation has made."""
+
+    generation_id: str
+    made: int
+
+
+class ReservationProgress(NamedTuple):
+    """Tells the owner how far generations are."""
+
+    group: str
+    items: tuple[ProgressItem, ...]
+
+
+class ReservationUnknown(NamedTuple):
+    """Asks for announcements of generations that the owner does not know."""
+
+    generation_ids: tuple[str, ...]
+
+
+class ReservationOutcome(StrEnum):
+    """How a reservation ended."""
+
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    TARGET_LOST = "target_lost"
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+
+
+class ReservationRelease(NamedTuple):
+    """Ends a reservation, or withdraws a request for one."""
+
+    group: str
+    generation_id: str
+    attempt: int
+    outcome: ReservationOutcome
+    made: int
--- /dev/null
+++ b/packages/heathertack/src/heathertack/operators/__init__.py
@@ -0,0 +1,43 @@
+"""Requests of operators: their signature and the documents they exchange."""
+
+from heathertack.operators._documents import (
+    BundleDocument,
+    CallDocument,
+    DrainDocument,
+    MemberDocument,
+    OrderDocument,
+    QuarantineClearDocument,
+    QuarantineDocument,
+    ReplicaDocument,
+    SettleDocument,
+    StatusDocument,
+    TargetDocument,
+)
+from heathertack.operators._signature import (
+    OPERATOR_HEADER,
+    SIGNATURE_HEADER,
+    TIME_HEADER,
+    RequestContent,
+    sign_request,
+    verify_request,
+)
+
+__all__ = [
+    "OPERATOR_HEADER",
+    "SIGNATURE_HEADER",
+    "TIME_HEADER",
+    "BundleDocument",
+    "CallDocument",
+    "DrainDocument",
+    "MemberDocument",
+    "OrderDocument",
+    "QuarantineClearDocument",
+    "QuarantineDocument",
+    "ReplicaDocument",
+    "RequestContent",
+    "SettleDocument",
+    "StatusDocument",
+    "TargetDocument",
+    "sign_request",
+    "verify_request",
+]
--- /dev/null
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -0,0 +1,24 @@
+"""Estimates and rules on which admission decides."""
+
+from heathertack.policy._fair_queue import FairQueue, QueuedItem
+from heathertack.policy._ledger import LedgerEntry, TargetLedger, projected_peak
+from heathertack.policy._lengths import LengthEstimator
+from heathertack.policy._prefix_index import PrefixIndex, digest_prefixes
+from heathertack.policy._rendezvous import choose_owner, group_targets
+from heathertack.policy._retry_budget import RetryBudget
+from heathertack.policy._tuning import AdmissionTuning
+
+__all__ = [
+    "AdmissionTuning",
+    "FairQueue",
+    "LedgerEntry",
+    "LengthEstimator",
+    "PrefixIndex",
+    "QueuedItem",
+    "RetryBudget",
+    "TargetLedger",
+    "choose_owner",
+    "digest_prefixes",
+    "group_targets",
+    "projected_peak",
+]
--- /dev/null
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -0,0 +1,112 @@
+"""What the admission owner knows of the cache of one target."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class LedgerEntry(NamedTuple):
+    """One generation that holds or will hold cache memory."""
+
+    #: Tokens in the cache: prompt and answer so far.
+    cached: int
+    #: Predicted tokens still to come.
+    remaining: int
+
+
+def projected_peak(entries: Iterable[LedgerEntry]) -> int:
+    """Return the highest cache use if every generation ends as predicted.
+
+    All generations are taken to decode in step, one token each, and to free
+    their memory at their predicted end.
+
+    Parameters
+    ----------
+    entries : iterable of LedgerEntry
+        Generations of one target.
+
+    Returns
+    -------
+    int
+        Tokens in the cache at the worst time.
+    """
+    peak = 0
+    cached = 0
+    latest_first = sorted(entries, key=_by_remaining, reverse=True)
+    for count, entry in enumerate(latest_first, start=1):
+        cached += entry.cached
+        peak = max(peak, cached + count * entry.remaining)
+    return peak
+
+
+def _by_remaining(entry: LedgerEntry) -> int:
+    return entry.remaining
+
+
+class TargetLedger:
+    """Reservations on one target, and its latest load report.
+
+    Parameters
+    ----------
+    capacity : int
+        Tokens that the cache holds.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self._entries: dict[str, LedgerEntry] = {}
+        self._waiting_prompts: dict[str, int] = {}
+        self._foreign_tokens = 0
+
+    @property
+    def count(self) -> int:
+        """Number of reservations."""
+        return len(self._entries)
+
+    @property
+    def cached(self) -> int:
+        """Tokens in the cache, as far as known."""
+        return self._foreign_tokens + sum(e.cached for e in self._entries.values())
+
+    @property
+    def waiting_prompt_tokens(self) -> int:
+        """Prompt tokens of generations that have no first token yet."""
+        return sum(self._waiting_prompts.values())
+
+    @property
+    def generation_ids(self) -> tuple[str, ...]:
+        """Generations that hold a reservation."""
+        return tuple(self._entries)
+
+    def reserve(self, generation_id: str, entry: LedgerEntry, *, started: bool) -> None:
+        """Add or update a reservation."""
+        self._entries[generation_id] = entry
+        if started:
+            self._waiting_prompts.pop(generation_id, None)
+        else:
+            self._waiting_prompts[generation_id] = entry.cached
+
+    def release(self, generation_id: str) -> None:
+        """Remove a reservation."""
+        self._entries.pop(generation_id, None)
+        self._waiting_prompts.pop(generation_id, None)
+
+    def note_reported_use(self, reported_tokens: int, slack: int) -> None:
+        """Account for cache use that no reservation explains.
+
+        Parameters
+        ----------
+        reported_tokens : int
+            Use by running generations that the target reported.
+        slack : int
+            Difference that the lag of reports explains, tokens.
+        """
+        own = sum(entry.cached for entry in self._entries.values())
+        self._foreign_tokens = max(0, reported_tokens - own - slack)
+
+    def peak_with(self, candidate: LedgerEntry) -> int:
+        """Return the projected peak if a generation is added."""
+        return self._foreign_tokens + projected_peak(
+            (*self._entries.values(), candidate)
+        )
--- /dev/null
+++ b/packages/heathertack/src/heathertack/policy/_rendezvous.py
@@ -0,0 +1,44 @@
+"""Rendezvous hashing: who owns the admission to which targets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+_TARGETS_PER_GROUP = 16
+
+
+def choose_owner(group: str, instances: Iterable[str]) -> str | None:
+    """Return the instance that admits to a group, ``None`` without instances."""
+    return max(instances, key=lambda name: _weigh(group, name), default=None)
+
+
+def group_targets(service: str, targets: Iterable[str]) -> dict[str, tuple[str, ...]]:
+    """Divide the targets of a service into groups.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    targets : iterable of str
+        Names of its targets.
+
+    Returns
+    -------
+    dict of str to tuple of str
+        Targets by group name. A group has 16 targets on average; a service with
+        fewer has one group, so that its admission is exact.
+    """
+    names = sorted(targets)
+    count = max(1, -(-len(names) // _TARGETS_PER_GROUP))
+    groups = [f"{service}:{number}" for number in range(count)]
+    divided: dict[str, list[str]] = {group: [] for group in groups}
+    for name in names:
+        group = max(groups, key=lambda candidate: _weigh(candidate, name))
+        divided[group].append(name)
+    return {group: tuple(members) for group, members in divided.items()}
+
+
+def _weigh(group: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{group}\x00{name}".encode())
--- /dev/null
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -0,0 +1,38 @@
+"""Numbers that admission is tuned with."""
+
+from typing import NamedTuple
+
+
+class AdmissionTuning(NamedTuple):
+    """Parameters of admission."""
+
+    #: Quantile of the remaining length that is reserved at first.
+    quantile: float = 0.4
+    #: Least and greatest quantile that preemptions may lead to.
+    quantile_bounds: tuple[float, float] = (0.3, 0.8)
+    #: Change of the quantile after a preemption, and its decay per second.
+    quantile_step: float = 0.05
+    quantile_decay: float = 0.002
+    #: Part of the cache that the projected peak may fill.
+    cache_limit: float = 0.96
+    #: Prompt tokens that may wait for their first token on one target, unless
+    #: it is a single prompt.
+    prefill_budget: int = 1024
+    #: Most generations on one target.
+    batch_limit: int = 256
+    #: Requests behind a head that does not fit which are looked at.
+    look_ahead: int = 8
+    #: Age from which nobody may pass a head that does not fit, seconds.
+    head_age_limit: float = 6.0
+    #: Weight of saved prompt tokens beside cached tokens in the choice.
+    prefix_weight: float = 2.0
+    #: Life of a reservation without news, seconds.
+    reservation_timeout: float = 4.0
+    #: Wait of a new owner for announcements, seconds.
+    settling: float = 0.6
+    #: Most requests that wait in one group.
+    queue_limit: int = 512
+    #: Span over which the rate of admissions is measured, seconds.
+    rate_window: float = 10.0
+    #: Bounds of the time after which a refused caller may come back, seconds.
+    retry_after_bounds: tuple[float, float] = (1.0, 60.0)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -0,0 +1,99 @@
+"""Shapes of the settings file."""
+
+from typing import NamedTuple, NotRequired, TypedDict
+
+
+class Address(TypedDict):
+    """Where a socket listens."""
+
+    #: IP number.
+    host: str
+    #: TCP port.
+    port: int
+
+
+class PeerSettings(TypedDict):
+    """Another instance of the same cluster."""
+
+    #: Name of the instance.
+    instance: str
+    #: Address of its HTTP listener.
+    http: Address
+    #: Address of its listener for other instances.
+    peer: Address
+    #: Failure domain it runs in.
+    failure_domain: str
+    #: CURVE public key, Z85 text.
+    public_key: str
+    #: Whether it has a disk and may replicate the control log.
+    control: bool
+
+
+class LimitSettings(TypedDict):
+    """Bounds that protect one instance."""
+
+    #: Largest request body, bytes.
+    max_body_bytes: NotRequired[int]
+    #: Largest request header, bytes.
+    max_header_bytes: NotRequired[int]
+    #: Most caller connections at one time.
+    max_connections: NotRequired[int]
+    #: Most open generations at one time.
+    max_streams: NotRequired[int]
+    #: Longest time that one write to a caller may block, seconds.
+    caller_write_timeout: NotRequired[float]
+    #: Longest time that a caller may take to send its request, seconds.
+    request_read_timeout: NotRequired[float]
+
+
+class Settings(TypedDict):
+    """Everything one daemon is told at its start."""
+
+    #: Name of this instance.
+    instance: str
+    #: Name of the cluster it belongs to.
+    cluster: str
+    #: Failure domain it runs in.
+    failure_domain: str
+    #: Listener for callers and operators.
+    http: Address
+    #: Listener for other instances.
+    peer: Address
+    #: CURVE secret key, Z85 text.
+    secret_key: str
+    #: Folder for durable state; only instances that have a disk set it.
+    data_folder: NotRequired[str]
+    #: The other instances.
+    peers: list[PeerSettings]
+    #: Ed25519 public keys of trusted operators, base64 text by operator name.
+    operator_keys: dict[str, str]
+    #: URL of the platform's list of live and leaving instances.
+    platform_url: str
+    #: How long a caller may keep an answer about addresses, seconds.
+    address_ttl: NotRequired[float]
+    #: Lowest level of logged events.
+    log_level: NotRequired[str]
+    #: Bounds that protect this instance.
+    limits: NotRequired[LimitSettings]
+
+
+class Limits(NamedTuple):
+    """Bounds that protect one instance, with their defaults."""
+
+    #: Largest request body, bytes.
+    max_body_bytes: int = 4 * 1024 * 1024
+    #: Largest request header, bytes.
+    max_header_bytes: int = 16 * 1024
+    #: Most caller connections at one time.
+    max_connections: int = 4096
+    #: Most open generations at one time.
+    max_streams: int = 2048
+    #: Longest time that one write to a caller may block, seconds.
+    caller_write_timeout: float = 30.0
+    #: Longest time that a caller may take to send its request, seconds.
+    request_read_timeout: float = 20.0
+
+
+def resolve_limits(settings: Settings) -> Limits:
+    """Return the limits of an instance, defaults included."""
+    return Limits(**settings.get("limits", {}))
--- /dev/null
+++ b/packages/heathertack/src/heathertack/settings/_parse.py
@@ -0,0 +1,71 @@
+"""Checks a settings file."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+from returns.result import Failure, Result, Success
+
+from heathertack.schema import SchemaError, convert_document, parse_document
+from heathertack.settings._model import Address, Settings
+
+#: A settings file that can't be used.
+SettingsError = SchemaError
+
+_HIGHEST_PORT = 65535
+_Z85_KEY_LENGTH = 40
+
+
+def parse_settings(file: str, text: str) -> Result[Settings, SettingsError]:
+    """Parse and check the settings of one instance.
+
+    Parameters
+    ----------
+    file : str
+        Name used in errors.
+    text : str
+        JSON with comments.
+
+    Returns
+    -------
+    Result[Settings, SettingsError]
+        Checked settings, or the file, path, value and what was expected.
+    """
+    parsed = parse_document(file, text)
+    typed = parsed.bind(lambda value: convert_document(file, value, Settings))
+    return typed.bind(lambda settings: _check_values(file, settings))
+
+
+def _check_values(file: str, settings: Settings) -> Result[Settings, SettingsError]:
+    addresses = [("$.http", settings["http"]), ("$.peer", settings["peer"])]
+    keys = [("$.secret_key", settings["secret_key"])]
+    for number, peer in enumerate(settings["peers"]):
+        path = f"$.peers[{number}]"
+        addresses.append((f"{path}.http", peer["http"]))
+        addresses.append((f"{path}.peer", peer["peer"]))
+        keys.append((f"{path}.public_key", peer["public_key"]))
+    for path, address in addresses:
+        error = _check_address(file, path, address)
+        if error is not None:
+            return Failure(error)
+    for path, key in keys:
+        if len(key) != _Z85_KEY_LENGTH:
+            found = f"{len(key)} characters"
+            expected = f"a CURVE key of {_Z85_KEY_LENGTH} Z85 characters"
+            return Failure(SettingsError(file, path, found, expected))
+    names = [peer["instance"] for peer in settings["peers"]]
+    if settings["instance"] in names or len(set(names)) != len(names):
+        expected = "each instance once, without this one"
+        return Failure(SettingsError(file, "$.peers", "a repeated instance", expected))
+    return Success(settings)
+
+
+def _check_address(file: str, path: str, address: Address) -> SettingsError | None:
+    try:
+        ip_address(address["host"])
+    except ValueError:
+        return SettingsError(file, f"{path}.host", address["host"], "an IP number")
+    if not 0 < address["port"] <= _HIGHEST_PORT:
+        found = str(address["port"])
+        return SettingsError(file, f"{path}.port", found, f"1 to {_HIGHEST_PORT}")
+    return None
--- /dev/null
+++ b/packages/heathertack/src/heathertack/settings/tests/test_settings.py
@@ -0,0 +1,69 @@
+import json
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from heathertack.settings import parse_settings
+
+KEY = "k" * 40
+
+
+def build(**changes: Any) -> str:
+    settings: dict[str, Any] = {
+        "instance": "entry-1",
+        "cluster": "kalamu",
+        "failure_domain": "nairobi-a",
+        "http": {"host": "127.0.0.1", "port": 8100},
+        "peer": {"host": "127.0.0.1", "port": 9100},
+        "secret_key": KEY,
+        "peers": [],
+        "operator_keys": {},
+        "platform_url": "http://127.0.0.1:9300/instances",
+    }
+    return json.dumps({**settings, **changes})
+
+
+def peer(name: str) -> dict[str, Any]:
+    return {
+        "instance": name,
+        "http": {"host": "127.0.0.1", "port": 1},
+        "peer": {"host": "127.0.0.1", "port": 2},
+        "failure_domain": "nairobi-b",
+        "public_key": KEY,
+        "control": True,
+    }
+
+
+INVALID = [
+    ("unknown field", {"colour": 1}, "$.colour", "unknown field"),
+    ("unknown nested field", {"limits": {"x": 1}}, "$.limits.x", "unknown field"),
+    ("wrong type", {"instance": 4}, "$.instance", "Expected `str`"),
+    ("host name", {"http": {"host": "a", "port": 1}}, "$.http.host", "an IP number"),
+    ("port", {"peer": {"host": "::1", "port": 0}}, "$.peer.port", "1 to 65535"),
+    ("short key", {"secret_key": "x"}, "$.secret_key", "40 Z85 characters"),
+    ("itself as peer", {"peers": [peer("entry-1")]}, "$.peers", "each instance once"),
+]
+
+
+class TestParseSettings:
+    def test_accepts_comments(self) -> None:
+        text = "// Settings of one instance.\n" + build(peers=[peer("entry-2")])
+        result = parse_settings("a.jsonc", text)
+        assert isinstance(result, Success)
+        assert result.unwrap()["peers"][0]["instance"] == "entry-2"
+
+    @pytest.mark.parametrize(("name", "changes", "path", "expected"), INVALID)
+    def test_names_what_is_wrong(
+        self, name: str, changes: dict[str, Any], path: str, expected: str
+    ) -> None:
+        result = parse_settings("a.jsonc", build(**changes))
+        assert isinstance(result, Failure), name
+        message = str(result.failure())
+        assert message.startswith(f"a.jsonc: {path}: ")
+        assert expected in message
+
+    def test_refuses_text_that_is_not_json(self) -> None:
+        result = parse_settings("a.jsonc", "{")
+        assert isinstance(result, Failure)
+        assert result.failure().expected == "JSON with comments"
--- /dev/null
+++ b/packages/heathertack/src/heathertack/state/__init__.py
@@ -0,0 +1,67 @@
+"""The replicated state machine: bundles, calls and quarantined requests."""
+
+from heathertack.state._commands import (
+    COMMAND_CODEC,
+    ApplyBundle,
+    BarReplica,
+    ClaimCall,
+    ClearQuarantine,
+    Command,
+    ExpireRecords,
+    MarkOwnerLost,
+    RecordOutcome,
+    ReportTargetLoss,
+    SetDraining,
+    SettleCall,
+)
+from heathertack.state._machine import ControlStateMachine
+from heathertack.state._records import (
+    AcceptedBundle,
+    CallOutcome,
+    CallRecord,
+    CallState,
+    LossRecord,
+    TargetLoss,
+)
+from heathertack.state._results import (
+    RESULT_CODEC,
+    BundleAccepted,
+    BundleRejected,
+    CallFound,
+    ClaimGranted,
+    Done,
+    LossRecorded,
+    NotFound,
+    Result,
+)
+
+__all__ = [
+    "COMMAND_CODEC",
+    "RESULT_CODEC",
+    "AcceptedBundle",
+    "ApplyBundle",
+    "BarReplica",
+    "BundleAccepted",
+    "BundleRejected",
+    "CallFound",
+    "CallOutcome",
+    "CallRecord",
+    "CallState",
+    "ClaimCall",
+    "ClaimGranted",
+    "ClearQuarantine",
+    "Command",
+    "ControlStateMachine",
+    "Done",
+    "ExpireRecords",
+    "LossRecord",
+    "LossRecorded",
+    "MarkOwnerLost",
+    "NotFound",
+    "RecordOutcome",
+    "ReportTargetLoss",
+    "Result",
+    "SetDraining",
+    "SettleCall",
+    "TargetLoss",
+]
--- /dev/null
+++ b/packages/heathertack/src/heathertack/state/_machine.py
@@ -0,0 +1,200 @@
+"""Applies committed commands in the order of the log."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, assert_never
+
+import msgspec
+
+from heathertack.state._calls import CallTable
+from heathertack.state._commands import (
+    ApplyBundle,
+    BarReplica,
+    ClaimCall,
+    ClearQuarantine,
+    Command,
+    ExpireRecords,
+    MarkOwnerLost,
+    RecordOutcome,
+    ReportTargetLoss,
+    SetDraining,
+    SettleCall,
+)
+from heathertack.state._records import AcceptedBundle, CallRecord, LossRecord
+from heathertack.state._results import (
+    BundleAccepted,
+    BundleRejected,
+    Done,
+    LossRecorded,
+    NotFound,
+    Result,
+)
+
+_HISTORY_LENGTH = 50
+
+
+class _SnapshotData(NamedTuple):
+    """Everything a snapshot of the state machine holds."""
+
+    bundles: tuple[AcceptedBundle, ...]
+    calls: tuple[CallRecord, ...]
+    abandoned_claims: tuple[str, ...]
+    losses: tuple[LossRecord, ...]
+    draining: tuple[str, ...]
+    barred: tuple[str, ...]
+
+
+class ControlStateMachine:
+    """Bundles, calls, quarantined requests and leaving instances."""
+
+    def __init__(self) -> None:
+        self._bundles: tuple[AcceptedBundle, ...] = ()
+        self._calls = CallTable(())
+        self._losses: dict[str, LossRecord] = {}
+        self._draining: frozenset[str] = frozenset()
+        self._barred: frozenset[str] = frozenset()
+
+    @property
+    def bundle(self) -> AcceptedBundle | None:
+        """The current bundle."""
+        return self._bundles[-1] if self._bundles else None
+
+    @property
+    def history(self) -> tuple[AcceptedBundle, ...]:
+        """Accepted bundles, oldest first."""
+        return self._bundles
+
+    @property
+    def calls(self) -> CallTable:
+        """Calls that must not run twice."""
+        return self._calls
+
+    @property
+    def losses(self) -> tuple[LossRecord, ...]:
+        """Requests that lost targets."""
+        return tuple(self._losses.values())
+
+    @property
+    def draining(self) -> frozenset[str]:
+        """Instances that an operator marked as leaving."""
+        return self._draining
+
+    @property
+    def barred(self) -> frozenset[str]:
+        """Replicas that may not join again."""
+        return self._barred
+
+    def apply(self, index: int, command: Command) -> Result:
+        """Apply the command at a log index and return its result."""
+        match command:
+            case ApplyBundle():
+                return self._apply_bundle(index, command)
+            case ClaimCall():
+                return self._calls.claim(command)
+            case RecordOutcome():
+                return self._calls.record_outcome(command)
+            case MarkOwnerLost():
+                return self._calls.mark_owner_lost(command)
+            case SettleCall():
+                return self._calls.settle(command)
+            case ReportTargetLoss():
+                return self._report_loss(command)
+            case ClearQuarantine():
+                return self._clear_quarantine(command)
+            case ExpireRecords():
+                return self._expire(command)
+            case SetDraining():
+                return self._set_draining(command)
+            case BarReplica():
+                self._barred |= {command.replica}
+                return Done()
+            case _:
+                assert_never(command)
+
+    def encode_snapshot(self) -> bytes:
+        """Encode the whole state."""
+        data = _SnapshotData(
+            self._bundles,
+            self._calls.records,
+            self._calls.abandoned_claims,
+            self.losses,
+            tuple(sorted(self._draining)),
+            tuple(sorted(self._barred)),
+        )
+        return msgspec.msgpack.encode(data)
+
+    def restore_snapshot(self, encoded: bytes) -> None:
+        """Replace the whole state; no bytes stand for the empty state."""
+        data = _SnapshotData((), (), (), (), (), ())
+        if encoded:
+            data = msgspec.msgpack.decode(encoded, type=_SnapshotData)
+        self._bundles = data.bundles
+        self._calls = CallTable(data.calls, data.abandoned_claims)
+        self._losses = {record.fingerprint: record for record in data.losses}
+        self._draining = frozenset(data.draining)
+        self._barred = frozenset(data.barred)
+
+    def _apply_bundle(self, index: int, command: ApplyBundle) -> Result:
+        current = self.bundle
+        if current is not None and command.version <= current.version:
+            return _answer_old_version(command, self._bundles)
+        accepted = AcceptedBundle(
+            index, command.version, command.digest, command.signed, command.at
+        )
+        self._bundles = (*self._bundles, accepted)[-_HISTORY_LENGTH:]
+        return BundleAccepted(command.version, command.digest, index)
+
+    def _report_loss(self, command: ReportTargetLoss) -> Result:
+        record = self._losses.get(command.fingerprint)
+        losses = record.losses if record is not None else ()
+        if command.loss not in losses:
+            losses = (*losses, command.loss)
+        self._losses[command.fingerprint] = LossRecord(
+            command.fingerprint, command.account, losses, command.at
+        )
+        return LossRecorded(len(losses))
+
+    def _clear_quarantine(self, command: ClearQuarantine) -> Result:
+        if self._losses.pop(command.fingerprint, None) is None:
+            return NotFound(f"fingerprint {command.fingerprint}")
+        return Done()
+
+    def _expire(self, command: ExpireRecords) -> Result:
+        changed = self._calls.expire(command.calls_before)
+        kept = {
+            fingerprint: record
+            for fingerprint, record in self._losses.items()
+            if record.last_at >= command.losses_before
+        }
+        changed += len(self._losses) - len(kept)
+        self._losses = kept
+        return Done(changed)
+
+    def _set_draining(self, command: SetDraining) -> Result:
+        if command.draining:
+            self._draining |= {command.instance}
+        else:
+            self._draining -= {command.instance}
+        return Done()
+
+
+def _answer_old_version(
+    command: ApplyBundle, bundles: tuple[AcceptedBundle, ...]
+) -> Result:
+    """Answer a bundle whose version is not above the current one."""
+    current = bundles[-1]
+    if command.version < current.version:
+        return _reject("older", current)
+    if command.digest == current.digest:
+        return BundleAccepted(current.version, current.digest, current.log_index)
+    return _reject("conflict", current)
+
+
+def _reject(reason: str, current: AcceptedBundle) -> BundleRejected:
+    return BundleRejected(
+        reason,
+        current.version,
+        current.digest,
+        current.signed.operator,
+        current.accepted_at,
+    )
--- /dev/null
+++ b/packages/heathertack/src/heathertack/storage/_records.py
@@ -0,0 +1,66 @@
+"""Records of a log segment and the snapshot file."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from heathertack.consensus import HardState, LogEntry, Snapshot
+from heathertack.storage._disk import Disk
+from heathertack.storage._frames import encode_frame
+
+SNAPSHOT_FILE = "snapshot"
+_SEGMENT_PREFIX = "log-"
+
+
+class StorageRecord(NamedTuple):
+    """One change of the log; exactly one field is set."""
+
+    #: New term and vote.
+    hard_state: HardState | None = None
+    #: First index removed; 0 for none.
+    truncate_from: int = 0
+    #: Entries appended.
+    entries: tuple[LogEntry, ...] = ()
+
+
+def encode_records(records: tuple[StorageRecord, ...]) -> bytes:
+    """Encode records as one frame."""
+    return encode_frame(msgspec.msgpack.encode(records))
+
+
+def decode_records(payload: bytes) -> tuple[StorageRecord, ...]:
+    """Decode the payload of a frame."""
+    return msgspec.msgpack.decode(payload, type=tuple[StorageRecord, ...])
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Encode a snapshot as one frame."""
+    return encode_frame(msgspec.msgpack.encode(snapshot))
+
+
+def decode_snapshot(payload: bytes) -> Snapshot:
+    """Decode the payload of a snapshot's frame."""
+    return msgspec.msgpack.decode(payload, type=Snapshot)
+
+
+def segment_name(index: int) -> str:
+    """Return the name of the segment that follows a snapshot."""
+    return f"{_SEGMENT_PREFIX}{index:020d}"
+
+
+def list_segments(disk: Disk) -> tuple[str, ...]:
+    """Return the names of all segments, oldest first."""
+    names = disk.list_files()
+    return tuple(name for name in names if name.startswith(_SEGMENT_PREFIX))
+
+
+def write_segment(
+    disk: Disk, index: int, hard_state: HardState, entries: tuple[LogEntry, ...]
+) -> str:
+    """Start a segment that needs no older one, and return its name."""
+    name = segment_name(index)
+    records = (StorageRecord(hard_state), StorageRecord(entries=entries))
+    disk.replace(name, encode_records(records))
+    return name
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -0,0 +1,5 @@
+"""The heathertack daemon."""
+
+from heathertackd._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -0,0 +1,292 @@
+"""Runs one call of a plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import secrets
+from typing import Any, NamedTuple, assert_never
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure, Success
+
+from heathertack.controllers import (
+    AnswerCaller,
+    AnswerLost,
+    CallController,
+    CallEvent,
+    ClaimAnswered,
+    ClaimTimedOut,
+    Execution,
+    OutcomeRecorded,
+    RecordingTimedOut,
+    RefuseCaller,
+    SendCall,
+    SubmitOutcome,
+    TargetAnswered,
+    TargetFailed,
+    TargetUnreached,
+    find_usable_targets,
+)
+from heathertack.messages import TargetRecord
+from heathertack.policy import RetryBudget
+from heathertack.state import (
+    CallOutcome,
+    ClaimCall,
+    RecordOutcome,
+)
+from heathertackd import _clock
+from heathertackd._instance import Instance
+from heathertackd._refusals import not_run, refusal_response
+
+_CONNECT_SECONDS = 2.0
+_CLAIM_SECONDS = 3.0
+_RECORD_SECONDS = 3.0
+_BACKGROUND_RECORD_SECONDS = 600.0
+_MOST_ANSWER_BYTES = 1024 * 1024
+_FORWARDED_HEADERS = ("Content-Type", "Accept")
+
+
+class CallOrder(NamedTuple):
+    """A checked call of a plain service."""
+
+    service: str
+    account: str
+    method: str
+    #: Path and query within the service.
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    #: Idempotency key, empty for none.
+    key: str
+    #: Longest time that the call may take, seconds.
+    timeout: float
+
+    @property
+    def digest(self) -> str:
+        """Digest of method, path and body."""
+        text = f"{self.service}\n{self.method}\n{self.path}\n".encode()
+        return hashlib.sha256(text + self.body).hexdigest()
+
+
+class PlainClient:
+    """Sends calls to plain services.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections to targets.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def send(
+        self, target: TargetRecord, order: CallOrder
+    ) -> TargetAnswered | TargetUnreached | AnswerLost:
+        """Send a call once and return what came of it."""
+        timeout = aiohttp.ClientTimeout(
+            total=order.timeout, sock_connect=_CONNECT_SECONDS
+        )
+        headers = dict(order.headers)
+        if order.key:
+            headers["Idempotency-Key"] = order.key
+        try:
+            async with self._session.request(
+                order.method,
+                f"http://{target.address}{order.path}",
+                data=order.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.content.read(_MOST_ANSWER_BYTES + 1)
+                if len(body) > _MOST_ANSWER_BYTES:
+                    return AnswerLost("the answer of the target is too long")
+                content_type = response.headers.get("Content-Type", "")
+                outcome = CallOutcome(response.status, content_type, body)
+                return TargetAnswered(outcome)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return TargetUnreached(has_alternative=False)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = f"the answer of {target.name} is lost: {error!r}"
+            return AnswerLost(detail)
+
+
+def forwarded_headers(request: web.Request) -> dict[str, str]:
+    """Return the headers of a caller that a target gets to see."""
+    headers = request.headers
+    return {name: headers[name] for name in _FORWARDED_HEADERS if name in headers}
+
+
+class _TargetTurns:
+    """Targets of a call, each used once."""
+
+    def __init__(self, targets: tuple[TargetRecord, ...], start: int) -> None:
+        start = start % len(targets) if targets else 0
+        self._left = list(targets[start:] + targets[:start])
+
+    @property
+    def has_more(self) -> bool:
+        """Whether a target is left."""
+        return bool(self._left)
+
+    def take(self) -> TargetRecord | None:
+        """Return the next target."""
+        return self._left.pop(0) if self._left else None
+
+
+class CallRunner:
+    """Runs calls of plain services.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    client : PlainClient
+        Connections to plain services.
+    """
+
+    def __init__(self, instance: Instance, client: PlainClient) -> None:
+        self._instance = instance
+        self._client = client
+        self._budget = RetryBudget()
+        self._background: set[asyncio.Task[Any]] = set()
+        self._turn = 0
+
+    @property
+    def pending_records(self) -> int:
+        """Outcomes that are not committed yet."""
+        return len(self._background)
+
+    async def run_idempotent(self, order: CallOrder) -> web.Response:
+        """Send a call that may be repeated; try other targets on failure."""
+        turns = self._turns(order)
+        refusal = not_run("no_target", "no target is live", 1.0)
+        target = turns.take()
+        while target is not None:
+            result = await self._client.send(target, order)
+            if isinstance(result, TargetAnswered):
+                self._budget.note_success()
+                return _answer(result.outcome, order.key, is_replay=False)
+            self._note_failure(target)
+            message = f"target {target.name} did not answer"
+            refusal = refusal._replace(message=message)
+            if isinstance(result, AnswerLost):
+                refusal = refusal._replace(execution=Execution.UNKNOWN)
+            has_next = turns.has_more and self._budget.try_spend()
+            target = turns.take() if has_next else None
+        return refusal_response(refusal)
+
+    async def run_once(self, order: CallOrder) -> web.Response:
+        """Send a call that must not run twice.
+
+        The call goes on if its caller leaves; its outcome is recorded.
+        """
+        task = asyncio.ensure_future(self._run_once(order))
+        self._keep(task)
+        return await asyncio.shield(task)
+
+    async def _run_once(self, order: CallOrder) -> web.Response:
+        claim_id = secrets.token_hex(12)
+        controller = CallController(claim_id, order.digest)
+        turns = self._turns(order)
+        event: CallEvent = await self._claim(order, claim_id)
+        while True:
+            (action,) = controller.handle(event)
+            match action:
+                case SendCall():
+                    event = await self._send(turns, order)
+                case SubmitOutcome():
+                    event = await self._record(order, claim_id, action)
+                case AnswerCaller():
+                    return _answer(
+                        action.outcome, order.key, is_replay=action.is_replay
+                    )
+                case RefuseCaller():
+                    return _refuse(action, order.key)
+                case _:
+                    assert_never(action)
+
+    async def _claim(
+        self, order: CallOrder, claim_id: str
+    ) -> ClaimAnswered | ClaimTimedOut:
+        command = ClaimCall(
+            order.account,
+            order.key,
+            order.service,
+            order.digest,
+            claim_id,
+            self._instance.name,
+            self._instance.incarnation,
+        )
+        match await self._instance.control.commit(command, _CLAIM_SECONDS):
+            case Success(result):
+                return ClaimAnswered(result)
+            case Failure(_):
+                self._keep(asyncio.ensure_future(self._free_claim(order, claim_id)))
+                return ClaimTimedOut()
+            case _:
+                return ClaimTimedOut()
+
+    async def _free_claim(self, order: CallOrder, claim_id: str) -> None:
+        """Free the key of a claim that may still be committed."""
+        command = RecordOutcome(order.account, order.key, claim_id, None)
+        await self._instance.control.commit(command, _BACKGROUND_RECORD_SECONDS)
+
+    async def _send(self, turns: _TargetTurns, order: CallOrder) -> CallEvent:
+        target = turns.take()
+        if target is None:
+            return TargetUnreached(has_alternative=False)
+        result = await self._client.send(target, order)
+        if isinstance(result, TargetUnreached):
+            self._note_failure(target)
+            return TargetUnreached(has_alternative=turns.has_more)
+        return result
+
+    async def _record(
+        self, order: CallOrder, claim_id: str, action: SubmitOutcome
+    ) -> OutcomeRecorded | RecordingTimedOut:
+        command = RecordOutcome(
+            order.account, order.key, claim_id, action.outcome, action.is_unknown
+        )
+        recording = asyncio.ensure_future(
+            self._instance.control.commit(command, _BACKGROUND_RECORD_SECONDS)
+        )
+        self._keep(recording)
+        try:
+            await asyncio.wait_for(asyncio.shield(recording), _RECORD_SECONDS)
+            return OutcomeRecorded()
+        except TimeoutError:
+            self._instance.logger.warning("outcome_unrecorded", key=order.key)
+            return RecordingTimedOut()
+
+    def _turns(self, order: CallOrder) -> _TargetTurns:
+        now = _clock.monotonic()
+        targets = find_usable_targets(self._instance.board, order.service, now)
+        self._turn += 1
+        return _TargetTurns(targets, self._turn)
+
+    def _note_failure(self, target: TargetRecord) -> None:
+        event = TargetFailed(target.name)
+        self._instance.health.handle(event, _clock.monotonic())
+
+    def _keep(self, task: asyncio.Task[Any]) -> None:
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _answer(outcome: CallOutcome, key: str, *, is_replay: bool) -> web.Response:
+    headers = {"Content-Type": outcome.content_type} if outcome.content_type else {}
+    if key:
+        headers["Idempotency-Key"] = key
+    if is_replay:
+        headers["Idempotent-Replayed"] = "true"
+    return web.Response(status=outcome.status, body=outcome.body, headers=headers)
+
+
+def _refuse(action: RefuseCaller, key: str) -> web.Response:
+    response = refusal_response(action.refusal, action.status)
+    response.headers["Idempotency-Key"] = key
+    return response
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_control_client.py
@@ -0,0 +1,94 @@
+"""Commits commands in the control log, wherever its leader is."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+from returns.result import Result as Outcome
+
+from heathertack.messages import ControlReply, ControlRequest, ControlStatus
+from heathertack.state import COMMAND_CODEC, RESULT_CODEC, Command, Result
+
+_ATTEMPT_SECONDS = 0.7
+_PAUSE_SECONDS = 0.1
+
+Send = Callable[[str, ControlRequest], None]
+FindLeader = Callable[[], str]
+
+
+class ControlUnavailableError(Exception):
+    """No leader committed a command in time. The command may still be committed."""
+
+
+class ControlClient:
+    """Sends commands to the leader until one answers.
+
+    Commands are idempotent, so that sending one again is harmless.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a request to an instance.
+    find_leader : callable
+        Returns the instance that leads, empty while unknown.
+    """
+
+    def __init__(self, send: Send, find_leader: FindLeader) -> None:
+        self._send = send
+        self._find_leader = find_leader
+        self._waiting: dict[str, asyncio.Future[ControlReply]] = {}
+
+    def receive(self, reply: ControlReply) -> None:
+        """Take the answer to a request."""
+        future = self._waiting.pop(reply.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    async def commit(
+        self, command: Command, timeout: float
+    ) -> Outcome[Result, ControlUnavailableError]:
+        """Commit a command.
+
+        Parameters
+        ----------
+        command : Command
+            The command.
+        timeout : float
+            Longest wait, seconds.
+
+        Returns
+        -------
+        Outcome[Result, ControlUnavailableError]
+            Result of the command.
+        """
+        encoded = COMMAND_CODEC.encode(command)
+        try:
+            async with asyncio.timeout(timeout):
+                return Success(await self._commit(encoded))
+        except TimeoutError:
+            return Failure(ControlUnavailableError("no leader answered in time"))
+
+    async def _commit(self, encoded: bytes) -> Result:
+        while True:
+            reply = await self._ask(encoded)
+            if reply is not None and reply.status is ControlStatus.DONE:
+                return RESULT_CODEC.decode(reply.result).unwrap()
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _ask(self, encoded: bytes) -> ControlReply | None:
+        leader = self._find_leader()
+        if not leader:
+            return None
+        request_id = secrets.token_hex(8)
+        future: asyncio.Future[ControlReply] = asyncio.Future()
+        self._waiting[request_id] = future
+        self._send(leader, ControlRequest(request_id, encoded))
+        try:
+            return await asyncio.wait_for(future, _ATTEMPT_SECONDS)
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting.pop(request_id, None)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_disk.py
@@ -0,0 +1,90 @@
+"""The data folder on a real disk."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+
+class FolderDisk:
+    """Files of one folder, after the ``Disk`` protocol.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder; it is created when it is missing.
+
+    Raises
+    ------
+    OSError
+        If the folder can't be created or written to.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._open_files: dict[str, int] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+        probe = folder / ".probe"
+        probe.write_bytes(b"")
+        probe.unlink()
+
+    def list_files(self) -> tuple[str, ...]:
+        """Return the names of all files, sorted."""
+        names = (entry.name for entry in self._folder.iterdir())
+        return tuple(sorted(name for name in names if not name.startswith(".")))
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file, ``None`` where there is none."""
+        try:
+            return (self._folder / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file without syncing it."""
+        descriptor = self._open(name)
+        view = memoryview(data)
+        while view:
+            written = os.write(descriptor, view)
+            view = view[written:]
+
+    def sync(self, name: str) -> None:
+        """Make all earlier appends to a file last."""
+        os.fdatasync(self._open(name))
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Set the content of a file, atomically and lasting."""
+        self._close(name)
+        temporary = self._folder / f".{name}.new"
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(self._folder / name)
+        self._sync_folder()
+
+    def delete(self, name: str) -> None:
+        """Remove a file."""
+        self._close(name)
+        (self._folder / name).unlink(missing_ok=True)
+        self._sync_folder()
+
+    def _open(self, name: str) -> int:
+        descriptor = self._open_files.get(name)
+        if descriptor is None:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            descriptor = os.open(self._folder / name, flags, 0o600)
+            self._open_files[name] = descriptor
+        return descriptor
+
+    def _close(self, name: str) -> None:
+        descriptor = self._open_files.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_engine_client.py
@@ -0,0 +1,247 @@
+"""The protocol of model engines, over aiohttp."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple, TypedDict
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from heathertack.controllers import EngineLoad, LinkFailure
+
+_CONNECT_SECONDS = 2.0
+_REPORT_SECONDS = 1.0
+_CANCEL_SECONDS = 2.0
+_EVENT_PREFIX = b"data: "
+_DONE = b"[DONE]"
+_LARGEST_EVENT_BYTES = 1024 * 1024
+
+
+class EngineEvent(NamedTuple):
+    """One event of a stream."""
+
+    generation_id: str
+    offset: int
+    text: str
+    #: Reason of the end, empty before it.
+    finish_reason: str
+
+
+class LinkError(NamedTuple):
+    """A link that ended without the end of the answer."""
+
+    failure: LinkFailure
+    detail: str
+
+
+class _WireEvent(TypedDict, total=False):
+    id: str
+    offset: int
+    text: str
+    finish_reason: str | None
+
+
+class CacheEvent(NamedTuple):
+    """Prefixes that an engine stored or evicted."""
+
+    sequence: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+class EngineStatus(NamedTuple):
+    """Load report of an engine with the work it was ordered to do."""
+
+    load: EngineLoad
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    fencing_number: int
+
+
+_EVENT_DECODER = msgspec.json.Decoder(_WireEvent)
+
+
+class EngineClient:
+    """Talks to model engines.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections to targets.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def open_stream(
+        self, address: str, path: str, body: dict[str, Any]
+    ) -> Result[aiohttp.ClientResponse, LinkError]:
+        """Send a request.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the engine.
+        path : str
+            Path of the API that the caller used.
+        body : dict
+            The request.
+
+        Returns
+        -------
+        Result[ClientResponse, LinkError]
+            An open stream, or why there is none.
+        """
+        request = self._session.post(
+            f"http://{address}{path}", json=body, timeout=_stream_timeout()
+        )
+        return await _await_response(request)
+
+    async def resume_stream(
+        self, address: str, attempt_id: str, offset: int
+    ) -> Result[aiohttp.ClientResponse, LinkError]:
+        """Continue a generation from an offset."""
+        request = self._session.get(
+            f"http://{address}/v1/generations/{attempt_id}",
+            params={"from": str(offset)},
+            timeout=_stream_timeout(),
+        )
+        return await _await_response(request)
+
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        """Tell an engine that nobody waits for a generation."""
+        url = f"http://{address}/v1/generations/{attempt_id}"
+        timeout = aiohttp.ClientTimeout(total=_CANCEL_SECONDS)
+        try:
+            async with self._session.delete(url, timeout=timeout):
+                pass
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def fetch_status(self, address: str) -> EngineStatus | None:
+        """Return the load report of an engine, ``None`` if there is none."""
+        document = await self._fetch(f"http://{address}/load")
+        if document is None:
+            return None
+        load = EngineLoad(
+            sequence=document["sequence"],
+            running=document["running"],
+            waiting=document["waiting"],
+            cache_tokens=document["cache_tokens"],
+            cache_capacity=document["cache_capacity"],
+            preemptions=document["preemptions"],
+        )
+        return EngineStatus(
+            load,
+            document.get("model", ""),
+            document.get("version", ""),
+            tuple(document.get("adapters", ())),
+            document.get("fencing_number", 0),
+        )
+
+    async def fetch_cache_events(
+        self, address: str, after: int
+    ) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a sequence number."""
+        document = await self._fetch(f"http://{address}/cache_events?after={after}")
+        if document is None:
+            return ()
+        return tuple(msgspec.convert(document["events"], list[CacheEvent]))
+
+    async def send_order(self, address: str, order: dict[str, Any]) -> int:
+        """Give an engine an order, and return the status of its answer."""
+        timeout = aiohttp.ClientTimeout(total=_REPORT_SECONDS)
+        url = f"http://{address}/orders"
+        try:
+            async with self._session.post(url, json=order, timeout=timeout) as response:
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def _fetch(self, url: str) -> Any:
+        timeout = aiohttp.ClientTimeout(total=_REPORT_SECONDS)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                if response.status != 200:
+                    return None
+                return msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+            return None
+
+
+async def read_events(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[tuple[EngineEvent, ...]]:
+    """Yield the events of a stream, those that arrived together in one tuple.
+
+    Raises
+    ------
+    aiohttp.ClientError
+        If the connection breaks or an event is too long.
+    """
+    buffered = b""
+    while True:
+        chunk = await response.content.readany()
+        if not chunk:
+            return
+        *lines, buffered = (buffered + chunk).split(b"\n")
+        if len(buffered) > _LARGEST_EVENT_BYTES:
+            raise aiohttp.ClientPayloadError("an event is too long")
+        events = tuple(_parse_line(line) for line in lines if _is_event(line))
+        if events:
+            yield events
+
+
+def _is_event(line: bytes) -> bool:
+    data = line.strip()
+    return data.startswith(_EVENT_PREFIX) and not data.endswith(_DONE)
+
+
+def _parse_line(line: bytes) -> EngineEvent:
+    try:
+        event = _EVENT_DECODER.decode(line.strip()[len(_EVENT_PREFIX) :])
+        return EngineEvent(
+            event["id"],
+            event["offset"],
+            event.get("text", ""),
+            event.get("finish_reason") or "",
+        )
+    except (msgspec.DecodeError, KeyError) as error:
+        detail = f"an event can't be read: {error}"
+        raise aiohttp.ClientPayloadError(detail) from error
+
+
+def _stream_timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
+
+
+async def _await_response(
+    request: Any,
+) -> Result[aiohttp.ClientResponse, LinkError]:
+    try:
+        response: aiohttp.ClientResponse = await request
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        return Failure(LinkError(LinkFailure.UNREACHABLE, str(error)))
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return Failure(LinkError(LinkFailure.BROKEN, str(error)))
+    if response.status == 200:
+        return Success(response)
+    try:
+        detail = (await response.text())[:500]
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        detail = ""
+    response.release()
+    return Failure(LinkError(_classify_status(response.status), detail))
+
+
+def _classify_status(status: int) -> LinkFailure:
+    if status in (404, 410):
+        return LinkFailure.UNKNOWN_GENERATION
+    if status in (429, 503):
+        return LinkFailure.BUSY
+    if 400 <= status < 500:
+        return LinkFailure.INVALID_REQUEST
+    return LinkFailure.BROKEN
