--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -0,0 +1,432 @@
+"""Runs one generation: its controller, its links and its caller."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, NamedTuple, assert_never
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure, Success
+
+from heathertack.blackboard import TARGET_HEALTH, TARGETS, TargetHealth
+from heathertack.controllers import (
+    CallerLeft,
+    CancelAttempt,
+    CloseLink,
+    CompleteAnswer,
+    CountDrop,
+    DeliverTokens,
+    DiscardDelivered,
+    EndArrived,
+    FailAnswer,
+    GenerationAction,
+    GenerationController,
+    GenerationEvent,
+    GenerationLimits,
+    GenerationTimePassed,
+    LinkClosed,
+    LinkFailure,
+    LinkOpened,
+    LossCounted,
+    OpenStream,
+    Placed,
+    PlacementDenied,
+    PlacementEnded,
+    PlacementRefused,
+    PlacementWanted,
+    ReleaseTarget,
+    ReportLoss,
+    ReportTargetFailure,
+    RequestPlacement,
+    ResumeStream,
+    StreamGapsSeen,
+    TargetChosen,
+    TargetFailed,
+    TargetSucceeded,
+    TokensArrived,
+    TokensMade,
+    stall_bound,
+)
+from heathertack.messages import ReservationRequest
+from heathertack.state import LossRecorded, ReportTargetLoss, TargetLoss
+from heathertackd import _clock
+from heathertackd._engine_client import EngineClient, EngineEvent, read_events
+from heathertackd._instance import Instance
+from heathertackd._refusals import not_run, refusal_document, refusal_response
+from heathertackd._wire import CompletionRequest, CompletionWriter
+
+_QUEUED_CHUNKS = 16
+_LOSS_REPORT_SECONDS = 2.0
+_MADE_REPORT_EVENTS = 16
+
+
+class GenerationOrder(NamedTuple):
+    """A checked request for a generation."""
+
+    request: CompletionRequest
+    reservation: ReservationRequest
+    #: Time of the request, monotonic clock, seconds.
+    received_at: float
+    #: Longest time that one write to the caller may block, seconds.
+    write_timeout: float
+
+
+class GenerationSession:
+    """One generation from its request to its final answer.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    engines : EngineClient
+        Connections to engines.
+    order : GenerationOrder
+        The checked request.
+    http_request : web.Request
+        Request of the caller.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        engines: EngineClient,
+        order: GenerationOrder,
+        http_request: web.Request,
+    ) -> None:
+        self._instance = instance
+        self._engines = engines
+        self._order = order
+        self._http_request = http_request
+        reservation = order.reservation
+        self._id = reservation.generation_id
+        self._controller = GenerationController(
+            self._id,
+            GenerationLimits(),
+            is_streamed=order.request.stream,
+            now=_clock.monotonic(),
+        )
+        self._writer = CompletionWriter(
+            order.request, self._id, int(_clock.wall_time())
+        )
+        self._events: asyncio.Queue[tuple[GenerationEvent, ...]] = asyncio.Queue(
+            _QUEUED_CHUNKS
+        )
+        self._links: dict[int, asyncio.Task[None]] = {}
+        self._background: set[asyncio.Task[Any]] = set()
+        self._response: web.StreamResponse | None = None
+        self._held_text: list[str] = []
+        self._unsent = bytearray()
+        self._first_token_at: float | None = None
+        self._last_token_at = 0.0
+        self._longest_gap = 0.0
+        self._reported_made = 0
+        account = instance.metrics.account_label(reservation.account)
+        self._labels = (account, reservation.class_name)
+
+    async def run(self) -> web.StreamResponse:
+        """Serve the request and return the response that was sent."""
+        self._instance.listen(self._id, self)
+        try:
+            await self._carry_out(self._controller.start())
+            while not self._controller.is_ended:
+                await self._step()
+        except (ConnectionError, TimeoutError, asyncio.CancelledError):
+            await self._leave()
+            raise
+        finally:
+            self._instance.stop_listening(self._id)
+            for task in self._links.values():
+                task.cancel()
+            self._note_gaps()
+        if self._response is None:
+            message = "the generation ended without an answer"
+            return refusal_response(not_run("internal_error", message))
+        return self._response
+
+    def take_placement(self, decision: TargetChosen | PlacementDenied) -> None:
+        """Take the decision of admission."""
+        event: GenerationEvent
+        if isinstance(decision, TargetChosen):
+            detail = f"{decision.target}: {decision.reason}"
+            self._instance.explain(self._id, "placed", detail)
+            event = Placed(decision.attempt, decision.target)
+        else:
+            self._instance.explain(self._id, decision.code, decision.reason)
+            refusal = not_run(decision.code, decision.reason, decision.retry_after)
+            event = PlacementRefused(decision.attempt, refusal)
+        self._spawn(self._events.put((event,)))
+
+    async def _step(self) -> None:
+        """Wait for events or the next deadline and act on them."""
+        deadline = self._controller.next_deadline()
+        timeout = None
+        if deadline is not None:
+            timeout = max(deadline - _clock.monotonic(), 0.0)
+        try:
+            async with asyncio.timeout(timeout):
+                events = await self._events.get()
+        except TimeoutError:
+            events = (GenerationTimePassed(),)
+        now = _clock.monotonic()
+        for event in events:
+            await self._carry_out(self._controller.handle(event, now))
+        await self._flush()
+
+    async def _leave(self) -> None:
+        """Free what the generation holds, because its caller left."""
+        actions = self._controller.handle(CallerLeft(), _clock.monotonic())
+        self._unsent.clear()
+        await self._carry_out(actions)
+        self._count_end("cancelled")
+
+    async def _carry_out(self, actions: tuple[GenerationAction, ...]) -> None:
+        for action in actions:
+            match action:
+                case DeliverTokens():
+                    await self._deliver(action.text)
+                case RequestPlacement():
+                    self._request_placement(action)
+                case OpenStream():
+                    self._open_link(action)
+                case ResumeStream():
+                    self._resume_link(action)
+                case CloseLink():
+                    self._close_link(action.link)
+                case CancelAttempt():
+                    self._cancel_attempt(action)
+                case DiscardDelivered():
+                    self._held_text.clear()
+                case CompleteAnswer():
+                    await self._complete(action)
+                case FailAnswer():
+                    await self._fail(action)
+                case ReleaseTarget():
+                    self._release(action)
+                case ReportTargetFailure():
+                    self._note_target_failure(action.target)
+                case ReportLoss():
+                    self._spawn(self._report_loss(action))
+                case CountDrop():
+                    label = action.reason.value
+                    self._instance.metrics.dropped_events.labels(label).inc()
+                case _:
+                    assert_never(action)
+
+    def _request_placement(self, action: RequestPlacement) -> None:
+        request = self._order.reservation._replace(
+            attempt=action.attempt, excluded=action.excluded
+        )
+        placement = self._instance.placement
+        wanted = PlacementWanted(request)
+        actions = placement.handle(wanted, _clock.monotonic())
+        self._instance.carry_out(actions)
+
+    def _open_link(self, action: OpenStream) -> None:
+        if action.link == 1:
+            waited = _clock.monotonic() - self._order.received_at
+            self._instance.metrics.queue_wait.labels(*self._labels).observe(waited)
+        address = self._find_address(action.target)
+        body = {
+            **self._order.request.body,
+            "id": action.attempt_id,
+            "stream": True,
+            "max_tokens": self._order.reservation.max_tokens,
+            "priority": self._order.reservation.priority,
+        }
+        opened = self._engines.open_stream(address, self._order.request.path, body)
+        self._links[action.link] = asyncio.create_task(self._read(action.link, opened))
+
+    def _resume_link(self, action: ResumeStream) -> None:
+        self._instance.metrics.resumes.inc()
+        self._instance.explain(
+            self._id, "resumed", f"{action.target} from {action.offset}"
+        )
+        address = self._find_address(action.target)
+        opened = self._engines.resume_stream(address, action.attempt_id, action.offset)
+        self._links[action.link] = asyncio.create_task(self._read(action.link, opened))
+
+    def _find_address(self, target: str) -> str:
+        record = self._instance.board.read(TARGETS).get(target)
+        return record.address if record is not None else "0.0.0.0:0"
+
+    async def _read(self, link: int, opened: Any) -> None:
+        """Turn what happens on a link into events."""
+        match await opened:
+            case Success(response):
+                await self._events.put((LinkOpened(link),))
+                failure = await self._read_response(link, response)
+            case Failure(error):
+                failure = LinkClosed(link, error.failure, error.detail)
+        await self._events.put((failure,))
+
+    async def _read_response(
+        self, link: int, response: aiohttp.ClientResponse
+    ) -> LinkClosed:
+        try:
+            async for events in read_events(response):
+                translated = tuple(_translate(link, event) for event in events)
+                await self._events.put(translated)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return LinkClosed(link, LinkFailure.BROKEN, str(error))
+        finally:
+            response.close()
+        return LinkClosed(link, LinkFailure.BROKEN, "the stream ended early")
+
+    def _close_link(self, link: int) -> None:
+        task = self._links.pop(link, None)
+        if task is not None:
+            task.cancel()
+
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        address = self._find_address(action.target)
+        self._spawn(self._engines.cancel(address, action.attempt_id))
+
+    async def _deliver(self, text: str) -> None:
+        now = _clock.monotonic()
+        self._note_token_time(now)
+        if not self._order.request.stream:
+            self._held_text.append(text)
+            return
+        self._unsent += self._writer.encode_chunk(text)
+
+    def _note_token_time(self, now: float) -> None:
+        metrics = self._instance.metrics
+        if self._first_token_at is None:
+            self._first_token_at = now
+            waited = now - self._order.received_at
+            metrics.first_token.labels(*self._labels).observe(waited)
+            self._report_made(now)
+        else:
+            gap = now - self._last_token_at
+            self._longest_gap = max(self._longest_gap, gap)
+            metrics.token_gap.labels(*self._labels).observe(gap)
+        self._last_token_at = now
+        if self._controller.offset - self._reported_made >= _MADE_REPORT_EVENTS:
+            self._report_made(now)
+
+    def _report_made(self, now: float) -> None:
+        self._reported_made = self._controller.offset
+        made = TokensMade(self._id, self._controller.offset)
+        self._instance.carry_out(self._instance.placement.handle(made, now))
+        if self._reported_made <= 1:
+            target = self._controller.target
+            self._instance.health.handle(TargetSucceeded(target), now)
+            health = self._instance.board.read(TARGET_HEALTH)
+            known = health.get(target, TargetHealth())
+            self._controller.set_stall_bound(stall_bound(known))
+
+    async def _flush(self) -> None:
+        """Write what was delivered; a slow caller holds back the engine."""
+        if not self._unsent:
+            return
+        response = await self._start_response()
+        data = bytes(self._unsent)
+        self._unsent.clear()
+        await self._write(response, data)
+
+    async def _start_response(self) -> web.StreamResponse:
+        if self._response is None:
+            response = web.StreamResponse(
+                headers={
+                    "Content-Type": "text/event-stream",
+                    "Cache-Control": "no-cache",
+                    "X-Request-Id": self._id,
+                }
+            )
+            self._response = response
+            await response.prepare(self._http_request)
+        return self._response
+
+    async def _write(self, response: web.StreamResponse, data: bytes) -> None:
+        async with asyncio.timeout(self._order.write_timeout):
+            await response.write(data)
+
+    async def _complete(self, action: CompleteAnswer) -> None:
+        self._count_end("whole")
+        self._instance.explain(self._id, "whole", f"{action.tokens} events")
+        if self._order.request.stream:
+            self._unsent += self._writer.encode_end(action.reason)
+            await self._flush()
+            return
+        text = "".join(self._held_text)
+        self._response = web.Response(
+            body=self._writer.encode_whole(text, action.reason, action.tokens),
+            content_type="application/json",
+            headers={"X-Request-Id": self._id},
+        )
+
+    async def _fail(self, action: FailAnswer) -> None:
+        refusal = action.refusal
+        self._count_end("refused")
+        account = self._labels[0]
+        self._instance.metrics.refusals.labels(account, refusal.code).inc()
+        self._instance.explain(self._id, refusal.code, refusal.message)
+        self._instance.logger.info(
+            "generation_refused",
+            request_id=self._id,
+            account=self._order.reservation.account,
+            code=refusal.code,
+            execution=refusal.execution.value,
+        )
+        if self._response is None and not self._unsent:
+            self._response = refusal_response(refusal)
+            self._response.headers["X-Request-Id"] = self._id
+            return
+        self._unsent += self._writer.encode_error(refusal_document(refusal))
+        await self._flush()
+
+    def _release(self, action: ReleaseTarget) -> None:
+        now = _clock.monotonic()
+        placement = self._instance.placement
+        made = TokensMade(self._id, self._controller.offset)
+        self._instance.carry_out(placement.handle(made, now))
+        ended = PlacementEnded(self._id, action.outcome)
+        self._instance.carry_out(placement.handle(ended, now))
+
+    def _note_target_failure(self, target: str) -> None:
+        self._instance.health.handle(TargetFailed(target), _clock.monotonic())
+        self._instance.logger.warning(
+            "target_failed", target=target, request_id=self._id
+        )
+
+    async def _report_loss(self, action: ReportLoss) -> None:
+        """Commit the loss of a target before the request is tried again."""
+        self._instance.metrics.target_losses.inc()
+        self._instance.explain(self._id, "target_lost", action.target)
+        reservation = self._order.reservation
+        command = ReportTargetLoss(
+            reservation.fingerprint,
+            reservation.account,
+            TargetLoss(action.target, action.attempt_id),
+        )
+        losses: int | None = None
+        match await self._instance.control.commit(command, _LOSS_REPORT_SECONDS):
+            case Success(LossRecorded(losses=recorded)):
+                losses = recorded
+            case _:
+                self._instance.logger.warning("loss_unrecorded", request_id=self._id)
+        await self._events.put((LossCounted(action.attempt, losses),))
+
+    def _note_gaps(self) -> None:
+        made = self._controller.offset
+        if self._first_token_at is None or made < 2:
+            return
+        self._instance.metrics.stall.labels(*self._labels).observe(self._longest_gap)
+        mean_gap = (self._last_token_at - self._first_token_at) / (made - 1)
+        event = StreamGapsSeen(self._controller.target, mean_gap)
+        self._instance.health.handle(event, _clock.monotonic())
+
+    def _count_end(self, end: str) -> None:
+        self._instance.metrics.requests.labels(*self._labels, end).inc()
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _translate(link: int, event: EngineEvent) -> GenerationEvent:
+    if event.finish_reason:
+        return EndArrived(link, event.generation_id, event.offset, event.finish_reason)
+    return TokensArrived(link, event.generation_id, event.offset, event.text)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -0,0 +1,447 @@
+"""Wires the controllers of one instance to its clocks and connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol, assert_never
+
+from returns.result import Failure, Success
+
+from heathertack.blackboard import (
+    BUNDLE,
+    CONTROL,
+    DRAIN,
+    LEASE,
+    Blackboard,
+)
+from heathertack.consensus import (
+    AppendRequest,
+    AppendResponse,
+    SnapshotRequest,
+    VoteRequest,
+    VoteResponse,
+)
+from heathertack.controllers import (
+    LEASE_TIMINGS,
+    AdmissionController,
+    AdmissionDue,
+    AnnounceBundle,
+    AnnounceLeadership,
+    AnnounceReceived,
+    AnswerCommand,
+    BundleCommitted,
+    CommandSubmitted,
+    ConfirmBundleInForce,
+    ConsensusReceived,
+    ControlLogController,
+    DrainController,
+    GrantReceived,
+    HintReceived,
+    InstanceIdentity,
+    JoinReceived,
+    LeaseDue,
+    LeaseGrantorController,
+    LeaseHolderController,
+    LeaseRequested,
+    LeavingReported,
+    OwnerReplied,
+    PlacementController,
+    PlacementDenied,
+    PlacementDue,
+    ProgressReceived,
+    ProposalsDue,
+    ProposeCommand,
+    ReleaseReceived,
+    ReservationReceived,
+    SendToPeer,
+    TargetChosen,
+    TargetHealthController,
+    TimePassed,
+)
+from heathertack.messages import (
+    ControlReply,
+    ControlRequest,
+    ControlStatus,
+    JoinRequest,
+    LeaderHint,
+    LeaseGrant,
+    LeaseRequest,
+    PeerMessage,
+    ReservationAnnounce,
+    ReservationGrant,
+    ReservationProgress,
+    ReservationQueued,
+    ReservationRefusal,
+    ReservationRelease,
+    ReservationRequest,
+    ReservationUnknown,
+    TargetReport,
+)
+from heathertack.policy import AdmissionTuning
+from heathertack.settings import Settings
+from heathertack.state import COMMAND_CODEC
+from heathertackd import _clock
+from heathertackd._control_client import ControlClient
+from heathertackd._logs import Logger
+from heathertackd._metrics import Metrics
+from heathertackd._peers import PeerNetwork
+
+_TICK_SECONDS = 0.05
+_DEFAULT_ADDRESS_TTL_SECONDS = 10.0
+_EXPLAINED_REQUESTS = 2000
+
+Action = (
+    SendToPeer
+    | AnswerCommand
+    | AnnounceBundle
+    | AnnounceLeadership
+    | ProposeCommand
+    | ConfirmBundleInForce
+    | TargetChosen
+    | PlacementDenied
+)
+
+
+class PlacementListener(Protocol):
+    """Waits for the target of a generation."""
+
+    def take_placement(self, decision: TargetChosen | PlacementDenied) -> None:
+        """Take a decision."""
+        ...
+
+
+class Explanation(NamedTuple):
+    """Why something happened to a request."""
+
+    #: Wall clock, seconds since the epoch.
+    at: float
+    event: str
+    detail: str
+
+
+class Instance:
+    """One daemon: blackboard, controllers and peers.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    control_log : ControlLogController or None
+        Controller of the control log, on instances with a data folder.
+    board : Blackboard
+        Blackboard on which ``control_log`` is registered.
+    logger : Logger
+        Logger of the instance.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        control_log: ControlLogController | None,
+        board: Blackboard,
+        logger: Logger,
+    ) -> None:
+        self.settings = settings
+        self.name = settings["instance"]
+        self.board = board
+        self.logger = logger
+        self.metrics = Metrics()
+        self.address_ttl = settings.get("address_ttl", _DEFAULT_ADDRESS_TTL_SECONDS)
+        self.incarnation = int(_clock.wall_time() * 1000)
+        self.control_log = control_log
+        self.grantor = (
+            LeaseGrantorController(board, self.name, LEASE_TIMINGS)
+            if control_log is not None
+            else None
+        )
+        self.lease_holder = LeaseHolderController(
+            board, self._identity(), self.control_instances, LEASE_TIMINGS
+        )
+        self.drain = DrainController(board, self.address_ttl + LEASE_TIMINGS.duration)
+        self.health = TargetHealthController(board)
+        self.admission = AdmissionController(board, self.name, AdmissionTuning())
+        self.placement = PlacementController(board)
+        self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
+        self.control = ControlClient(self.send, self._find_leader)
+        self._listeners: dict[str, PlacementListener] = {}
+        self._in_force: dict[int, asyncio.Event] = {}
+        self._proposals_due = False
+        self._local_results: dict[str, Callable[[AnswerCommand], None]] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._explanations: dict[str, list[Explanation]] = {}
+
+    @property
+    def control_instances(self) -> tuple[str, ...]:
+        """Instances that may lead the control log."""
+        others = [p["instance"] for p in self.settings["peers"] if p["control"]]
+        own = [self.name] if "data_folder" in self.settings else []
+        return tuple(own + others)
+
+    async def start(self) -> None:
+        """Open the connections to other instances and start the clock."""
+        await self.network.start()
+        if self.control_log is not None and self.control_log.machine.bundle:
+            self._carry_out((AnnounceBundle(self.control_log.machine.bundle),))
+        self._task = asyncio.create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Close the connections to other instances."""
+        if self._task is not None:
+            self._task.cancel()
+        await self.network.stop()
+
+    def send(self, instance: str, message: PeerMessage) -> None:
+        """Send a message to an instance, which may be this one."""
+        if instance == self.name:
+            asyncio.get_running_loop().call_soon(self.receive, self.name, message)
+        else:
+            self.network.send(instance, message)
+
+    def receive(self, sender: str, message: PeerMessage) -> None:
+        """Hand a message to the controller that it concerns."""
+        now = _clock.monotonic()
+        match message:
+            case (
+                VoteRequest()
+                | VoteResponse()
+                | AppendRequest()
+                | AppendResponse()
+                | SnapshotRequest()
+            ):
+                if self.control_log is not None:
+                    event = ConsensusReceived(message)
+                    self._carry_out(self.control_log.handle(event, now))
+            case JoinRequest():
+                if self.control_log is not None:
+                    join = JoinReceived(message)
+                    self._carry_out(self.control_log.handle(join, now))
+            case LeaseRequest() | LeaseGrant() | LeaderHint() | TargetReport():
+                self._receive_lease(sender, message, now)
+            case ControlRequest():
+                self._submit(sender, message, now)
+            case ControlReply():
+                self.control.receive(message)
+            case _:
+                self._receive_reservation(sender, message, now)
+
+    def listen(self, generation_id: str, listener: PlacementListener) -> None:
+        """Send decisions about a generation to a listener."""
+        self._listeners[generation_id] = listener
+
+    def stop_listening(self, generation_id: str) -> None:
+        """Forget the listener of a generation."""
+        self._listeners.pop(generation_id, None)
+
+    def carry_out(self, actions: Iterable[Action]) -> None:
+        """Carry out the actions of a controller."""
+        self._carry_out(actions)
+
+    def submit_local(
+        self,
+        event: CommandSubmitted,
+        callback: Callable[[AnswerCommand], None],
+    ) -> None:
+        """Submit a command to the control log of this instance."""
+        self._local_results[event.request_id] = callback
+        self._queue_command(event)
+
+    def expect_local_answer(
+        self, request_id: str, callback: Callable[[AnswerCommand], None]
+    ) -> None:
+        """Call back with the answer to a local operation."""
+        self._local_results[request_id] = callback
+
+    async def wait_in_force(self, index: int, timeout: float) -> bool:
+        """Wait until a bundle is in force everywhere, and tell whether it is."""
+        if self.grantor is not None and self.grantor.in_force_index >= index:
+            return True
+        event = self._in_force.setdefault(index, asyncio.Event())
+        try:
+            async with asyncio.timeout(timeout):
+                await event.wait()
+            return True
+        except TimeoutError:
+            return False
+
+    def explain(self, request_id: str, event: str, detail: str) -> None:
+        """Remember why something happened to a request."""
+        known = self._explanations.setdefault(request_id, [])
+        known.append(Explanation(_clock.wall_time(), event, detail))
+        while len(self._explanations) > _EXPLAINED_REQUESTS:
+            del self._explanations[next(iter(self._explanations))]
+
+    def explanations(self, request_id: str) -> tuple[Explanation, ...]:
+        """Return what is remembered of a request."""
+        return tuple(self._explanations.get(request_id, ()))
+
+    def _identity(self) -> InstanceIdentity:
+        http = self.settings["http"]
+        return InstanceIdentity(
+            self.name,
+            self.incarnation,
+            f"{http['host']}:{http['port']}",
+            self.settings["failure_domain"],
+        )
+
+    def _find_leader(self) -> str:
+        if self.board.read(CONTROL).may_lead(_clock.monotonic()):
+            return self.name
+        return self.board.read(LEASE).leader
+
+    async def _tick(self) -> None:
+        while True:
+            self._pass_time()
+            await asyncio.sleep(_TICK_SECONDS)
+
+    def _pass_time(self) -> None:
+        now = _clock.monotonic()
+        passed = TimePassed(_clock.wall_time())
+        if self.control_log is not None and self.grantor is not None:
+            self._carry_out(self.control_log.handle(passed, now))
+            self._carry_out(self.grantor.handle(passed, now))
+        self._carry_out(self.lease_holder.handle(LeaseDue(), now))
+        self._carry_out(self.admission.handle(AdmissionDue(), now))
+        self._carry_out(self.placement.handle(PlacementDue(), now))
+        self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
+
+    def _receive_lease(
+        self,
+        sender: str,
+        message: LeaseRequest | LeaseGrant | LeaderHint | TargetReport,
+        now: float,
+    ) -> None:
+        match message:
+            case LeaseGrant():
+                self._take_grant(message, now)
+            case LeaderHint():
+                hint = HintReceived(message)
+                self._carry_out(self.lease_holder.handle(hint, now))
+            case LeaseRequest():
+                if self.grantor is None or message.instance != sender:
+                    return
+                self._carry_out(self.grantor.handle(LeaseRequested(message), now))
+            case TargetReport():
+                if self.grantor is not None:
+                    report = LeavingReported(message.target)
+                    self._carry_out(self.grantor.handle(report, now))
+            case _:
+                assert_never(message)
+
+    def _take_grant(self, grant: LeaseGrant, now: float) -> None:
+        before = self.board.read(BUNDLE).log_index
+        self._carry_out(self.lease_holder.handle(GrantReceived(grant), now))
+        after = self.board.read(BUNDLE)
+        if after.log_index != before and after.bundle is not None:
+            self.logger.info(
+                "bundle_in_use",
+                log_index=after.log_index,
+                version=after.bundle["version"],
+            )
+
+    def _receive_reservation(
+        self, sender: str, message: PeerMessage, now: float
+    ) -> None:
+        match message:
+            case ReservationRequest():
+                wanted = ReservationReceived(sender, message)
+                self._carry_out(self.admission.handle(wanted, now))
+            case ReservationAnnounce():
+                announced = AnnounceReceived(sender, message)
+                self._carry_out(self.admission.handle(announced, now))
+            case ReservationProgress():
+                progress = ProgressReceived(sender, message)
+                self._carry_out(self.admission.handle(progress, now))
+            case ReservationRelease():
+                released = ReleaseReceived(message)
+                self._carry_out(self.admission.handle(released, now))
+            case (
+                ReservationGrant()
+                | ReservationRefusal()
+                | ReservationQueued()
+                | ReservationUnknown()
+            ):
+                reply = OwnerReplied(message)
+                self._carry_out(self.placement.handle(reply, now))
+            case _:
+                self.logger.warning("peer_message_unexpected", sender=sender)
+
+    def _submit(self, sender: str, request: ControlRequest, now: float) -> None:
+        leads = self.board.read(CONTROL).may_lead(now)
+        if self.control_log is None or not leads:
+            status = ControlStatus.NOT_LEADER
+            leader = self.board.read(LEASE).leader
+            reply = ControlReply(request.request_id, status, leader, b"")
+            self.send(sender, reply)
+            return
+        match COMMAND_CODEC.decode(request.command):
+            case Success(command):
+                self._queue_command(
+                    CommandSubmitted(
+                        request.request_id, sender, command, _clock.wall_time()
+                    )
+                )
+            case Failure(error):
+                self.logger.warning("command_unreadable", detail=error.detail)
+
+    def _queue_command(self, event: CommandSubmitted) -> None:
+        """Queue a command; all commands of one turn of the loop are synced once."""
+        if self.control_log is None:
+            return
+        self._carry_out(self.control_log.handle(event, _clock.monotonic()))
+        if not self._proposals_due:
+            self._proposals_due = True
+            asyncio.get_running_loop().call_soon(self._propose)
+
+    def _propose(self) -> None:
+        self._proposals_due = False
+        if self.control_log is not None:
+            now = _clock.monotonic()
+            self._carry_out(self.control_log.handle(ProposalsDue(), now))
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendToPeer():
+                    self.send(action.instance, action.message)
+                case AnswerCommand():
+                    self._answer_command(action)
+                case AnnounceBundle():
+                    self._announce_bundle(action)
+                case AnnounceLeadership():
+                    self.logger.info(
+                        "leadership", term=action.term, is_leader=action.is_leader
+                    )
+                case ProposeCommand():
+                    self._queue_command(
+                        CommandSubmitted("", "", action.command, _clock.wall_time())
+                    )
+                case ConfirmBundleInForce():
+                    self._confirm_in_force(action.log_index)
+                case TargetChosen() | PlacementDenied():
+                    listener = self._listeners.get(action.generation_id)
+                    if listener is not None:
+                        listener.take_placement(action)
+                case _:
+                    assert_never(action)
+
+    def _answer_command(self, action: AnswerCommand) -> None:
+        callback = self._local_results.pop(action.request_id, None)
+        if callback is not None:
+            callback(action)
+            return
+        reply = ControlReply(
+            action.request_id, action.status, action.leader, action.result
+        )
+        self.send(action.requester, reply)
+
+    def _announce_bundle(self, action: AnnounceBundle) -> None:
+        if self.grantor is not None:
+            event = BundleCommitted(action.accepted)
+            self._carry_out(self.grantor.handle(event, _clock.monotonic()))
+
+    def _confirm_in_force(self, index: int) -> None:
+        self.logger.info("bundle_in_force_everywhere", log_index=index)
+        for waited in tuple(self._in_force):
+            if waited <= index:
+                self._in_force.pop(waited).set()
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_main.py
@@ -0,0 +1,81 @@
+"""Command line of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from enum import IntEnum
+from pathlib import Path
+
+from docopt import docopt
+from returns.result import Failure, Success
+
+from heathertack.settings import Settings, parse_settings
+from heathertackd._daemon import Daemon, StartError, form_cluster
+from heathertackd._logs import Logger, configure_logs
+
+_USAGE = """The heathertack daemon.
+
+Usage:
+  heathertackd run SETTINGS
+  heathertackd form SETTINGS
+  heathertackd check SETTINGS
+  heathertackd (-h | --help)
+
+Commands:
+  run    Serve until SIGTERM, then finish what is in progress. A second SIGTERM
+         stops at once.
+  form   Prepare the empty data folder as the first replica of a new cluster.
+  check  Check the settings and do nothing else.
+
+Exit codes:
+  0  done
+  1  the daemon can't start on this machine
+  2  the settings can't be used
+"""
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the daemon."""
+
+    DONE = 0
+    CANT_START = 1
+    INVALID_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit code."""
+    options = docopt(_USAGE, argv=arguments)
+    path = Path(options["SETTINGS"])
+    try:
+        text = path.read_text()
+    except OSError as error:
+        print(f"heathertackd: {path}: {error.strerror}", file=sys.stderr)
+        return ExitCode.INVALID_SETTINGS
+    match parse_settings(str(path), text):
+        case Success(settings):
+            return _run_command(options, settings)
+        case Failure(error):
+            print(f"heathertackd: {error}", file=sys.stderr)
+    return ExitCode.INVALID_SETTINGS
+
+
+def _run_command(options: dict[str, object], settings: Settings) -> int:
+    try:
+        if options["run"]:
+            level = settings.get("log_level", "info")
+            logger = configure_logs(settings["instance"], level)
+            asyncio.run(_run(settings, logger))
+        elif options["form"]:
+            print(form_cluster(settings))
+        else:
+            print("the settings are valid")
+    except StartError as error:
+        print(f"heathertackd: {error}", file=sys.stderr)
+        return ExitCode.CANT_START
+    return ExitCode.DONE
+
+
+async def _run(settings: Settings, logger: Logger) -> None:
+    await Daemon(settings, logger).run()
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -0,0 +1,110 @@
+"""Metrics of one instance."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+_MOST_ACCOUNTS = 100
+_OTHER_ACCOUNTS = "other"
+_LATENCY_BUCKETS = (0.01, 0.02, 0.035, 0.052, 0.08, 0.12, 0.2, 0.4, 0.64)
+_WAIT_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """Counters and histograms by client account and class.
+
+    The first 100 client accounts have labels of their own; the others share one,
+    so that the number of time series is bounded.
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._accounts: set[str] = set()
+        by_caller = ("account", "class_name")
+        self.first_token = Histogram(
+            "heathertack_first_token_seconds",
+            "Time from a request to its first token",
+            by_caller,
+            buckets=_WAIT_BUCKETS,
+            registry=self._registry,
+        )
+        self.token_gap = Histogram(
+            "heathertack_token_gap_seconds",
+            "Time between two events of a stream",
+            by_caller,
+            buckets=(*_LATENCY_BUCKETS, 1.0, 2.0, 5.0),
+            registry=self._registry,
+        )
+        self.stall = Histogram(
+            "heathertack_stream_longest_gap_seconds",
+            "Longest time within a stream without an event",
+            by_caller,
+            buckets=_WAIT_BUCKETS,
+            registry=self._registry,
+        )
+        self.queue_wait = Histogram(
+            "heathertack_queue_wait_seconds",
+            "Time from a request to the choice of its target",
+            by_caller,
+            buckets=_WAIT_BUCKETS,
+            registry=self._registry,
+        )
+        self.requests = Counter(
+            "heathertack_requests",
+            "Requests by their end",
+            ("account", "class_name", "end"),
+            registry=self._registry,
+        )
+        self.refusals = Counter(
+            "heathertack_refusals",
+            "Refused requests by reason",
+            ("account", "code"),
+            registry=self._registry,
+        )
+        self.dropped_events = Counter(
+            "heathertack_dropped_events",
+            "Events of engines that were not delivered",
+            ("reason",),
+            registry=self._registry,
+        )
+        self.resumes = Counter(
+            "heathertack_resumes",
+            "Streams that were resumed on another connection",
+            registry=self._registry,
+        )
+        self.target_losses = Counter(
+            "heathertack_target_losses",
+            "Generations that lost their target",
+            registry=self._registry,
+        )
+        self.peer_messages = Counter(
+            "heathertack_peer_messages",
+            "Messages between instances",
+            ("direction",),
+            registry=self._registry,
+        )
+        self.peer_bytes = Counter(
+            "heathertack_peer_bytes",
+            "Bytes of messages between instances",
+            ("direction",),
+            registry=self._registry,
+        )
+        self.open_requests = Gauge(
+            "heathertack_open_requests",
+            "Requests in progress",
+            registry=self._registry,
+        )
+
+    def account_label(self, account: str) -> str:
+        """Return the label of a client account."""
+        if account in self._accounts:
+            return account
+        if len(self._accounts) < _MOST_ACCOUNTS:
+            self._accounts.add(account)
+            return account
+        return _OTHER_ACCOUNTS
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -0,0 +1,57 @@
+"""Final answers of refused requests, as the callers see them."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from heathertack.controllers import Execution, Refusal
+
+#: HTTP status by refusal code; 503 for all others.
+_STATUS_BY_CODE = {
+    "invalid_request": 400,
+    "unknown_service": 404,
+    "missing_key": 401,
+    "wrong_key": 401,
+    "body_too_large": 413,
+    "request_timeout": 408,
+    "account_limit": 429,
+    "queue_full": 429,
+    "overloaded": 429,
+    "target_lost": 502,
+    "quarantined": 503,
+}
+
+
+def refusal_document(refusal: Refusal) -> dict[str, Any]:
+    """Return the JSON document of a refusal."""
+    error: dict[str, Any] = {
+        "code": refusal.code,
+        "message": refusal.message,
+        "type": "heathertack_error",
+        "execution": refusal.execution.value,
+    }
+    if refusal.retry_after is not None:
+        error["retry_after"] = round(refusal.retry_after, 1)
+    return {"error": error}
+
+
+def refusal_response(refusal: Refusal, status: int | None = None) -> web.Response:
+    """Return the HTTP response of a refusal."""
+    headers: dict[str, str] = {}
+    if refusal.retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after))
+    return web.Response(
+        status=status or _STATUS_BY_CODE.get(refusal.code, 503),
+        body=msgspec.json.encode(refusal_document(refusal)),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def not_run(code: str, message: str, retry_after: float | None = None) -> Refusal:
+    """Return the refusal of a request that did not run."""
+    return Refusal(code, message, Execution.NOT_RUN, retry_after)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -0,0 +1,148 @@
+"""Watches the platform's list and the load of engines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TypedDict
+
+import aiohttp
+import msgspec
+
+from heathertack.blackboard import CONTROL, TARGETS
+from heathertack.controllers import (
+    CacheEventReceived,
+    LoadMissed,
+    LoadReceived,
+    PlatformListed,
+)
+from heathertack.messages import TargetRecord, TargetState
+from heathertackd import _clock
+from heathertackd._engine_client import EngineClient
+from heathertackd._instance import Instance
+
+_PLATFORM_SECONDS = 0.3
+_PLATFORM_TIMEOUT_SECONDS = 2.0
+_LOAD_SECONDS = 0.5
+
+
+class _PlatformInstance(TypedDict):
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    state: str
+    cache_tokens: int
+
+
+class _PlatformList(TypedDict):
+    instances: list[_PlatformInstance]
+
+
+class PlatformWatcher:
+    """Asks the platform for its list while this instance leads.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    session : aiohttp.ClientSession
+        Connection to the platform.
+    """
+
+    def __init__(self, instance: Instance, session: aiohttp.ClientSession) -> None:
+        self._instance = instance
+        self._session = session
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            control = self._instance.board.read(CONTROL)
+            if control.may_lead(_clock.monotonic()):
+                await self._fetch()
+            await asyncio.sleep(_PLATFORM_SECONDS)
+
+    async def _fetch(self) -> None:
+        url = self._instance.settings["platform_url"]
+        timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                listed = msgspec.json.decode(await response.read(), type=_PlatformList)
+            targets = tuple(_describe_target(item) for item in listed["instances"])
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+        ) as error:
+            self._instance.logger.warning("platform_unreadable", detail=repr(error))
+            return
+        if self._instance.grantor is not None:
+            event = PlatformListed(targets)
+            actions = self._instance.grantor.handle(event, _clock.monotonic())
+            self._instance.carry_out(actions)
+
+
+class LoadWatcher:
+    """Asks the engines for their load that this instance admits to.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    engines : EngineClient
+        Connections to engines.
+    """
+
+    def __init__(self, instance: Instance, engines: EngineClient) -> None:
+        self._instance = instance
+        self._engines = engines
+        self._missed: Counter[str] = Counter()
+        self._cache_sequences: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            watched = self._instance.admission.watched_targets
+            await asyncio.gather(*(self._ask(target) for target in watched))
+            await asyncio.sleep(_LOAD_SECONDS)
+
+    async def _ask(self, target: str) -> None:
+        record = self._instance.board.read(TARGETS).get(target)
+        if record is None:
+            return
+        status = await self._engines.fetch_status(record.address)
+        now = _clock.monotonic()
+        admission = self._instance.admission
+        if status is None:
+            self._missed[target] += 1
+            missed = LoadMissed(target, self._missed[target])
+            self._instance.carry_out(admission.handle(missed, now))
+            return
+        self._missed[target] = 0
+        load = LoadReceived(target, status.load)
+        self._instance.carry_out(admission.handle(load, now))
+        await self._ask_cache(target, record.address)
+
+    async def _ask_cache(self, target: str, address: str) -> None:
+        after = self._cache_sequences.get(target, 0)
+        events = await self._engines.fetch_cache_events(address, after)
+        now = _clock.monotonic()
+        for event in events:
+            self._cache_sequences[target] = event.sequence
+            received = CacheEventReceived(
+                target, event.sequence, event.stored, event.evicted
+            )
+            self._instance.carry_out(self._instance.admission.handle(received, now))
+
+
+def _describe_target(item: _PlatformInstance) -> TargetRecord:
+    is_live = item["state"] == "live"
+    return TargetRecord(
+        name=item["name"],
+        service=item["service"],
+        address=item["address"],
+        failure_domain=item["failure_domain"],
+        state=TargetState.LIVE if is_live else TargetState.LEAVING,
+        cache_tokens=item["cache_tokens"],
+    )
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_wire.py
@@ -0,0 +1,152 @@
+"""The shapes of completions as callers see them."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+_CHARACTERS_PER_TOKEN = 4
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+
+
+class _ChatMessage(TypedDict):
+    role: str
+    content: Any
+
+
+class _CompletionBody(TypedDict):
+    model: str
+    prompt: NotRequired[str]
+    messages: NotRequired[list[_ChatMessage]]
+    stream: NotRequired[bool]
+    max_tokens: NotRequired[int | None]
+    max_completion_tokens: NotRequired[int | None]
+
+
+class CompletionRequest(NamedTuple):
+    """A request for a completion."""
+
+    #: Path of the API that the caller used.
+    path: str
+    service: str
+    prompt: str
+    stream: bool
+    #: Most tokens that the caller wants, ``None`` if it does not say.
+    max_tokens: int | None
+    #: The whole request, for the engine.
+    body: dict[str, Any]
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated tokens of the prompt."""
+        return len(self.prompt) // _CHARACTERS_PER_TOKEN + 1
+
+
+def parse_completion(path: str, data: bytes) -> Result[CompletionRequest, str]:
+    """Check the body of a request for a completion.
+
+    Parameters
+    ----------
+    path : str
+        ``CHAT_PATH`` or ``TEXT_PATH``.
+    data : bytes
+        JSON.
+
+    Returns
+    -------
+    Result[CompletionRequest, str]
+        The request, or what is wrong with it.
+    """
+    try:
+        body = msgspec.json.decode(data, type=dict[str, Any])
+        typed = msgspec.convert(body, _CompletionBody)
+    except msgspec.DecodeError as error:
+        return Failure(f"the body can't be read: {error}")
+    if path == CHAT_PATH and not typed.get("messages"):
+        return Failure("the body has no messages")
+    if path == TEXT_PATH and "prompt" not in typed:
+        return Failure("the body has no prompt")
+    max_tokens = typed.get("max_completion_tokens") or typed.get("max_tokens")
+    if max_tokens is not None and max_tokens < 1:
+        return Failure("max_tokens must be at least 1")
+    request = CompletionRequest(
+        path,
+        typed["model"],
+        _join_prompt(path, typed),
+        typed.get("stream", False),
+        max_tokens,
+        body,
+    )
+    return Success(request)
+
+
+def _join_prompt(path: str, body: _CompletionBody) -> str:
+    if path == TEXT_PATH:
+        return body["prompt"]
+    messages = body["messages"]
+    return "\n".join(f"{m['role']}: {m['content']}" for m in messages)
+
+
+class CompletionWriter:
+    """Encodes the answer to one request.
+
+    Parameters
+    ----------
+    request : CompletionRequest
+        The request.
+    generation_id : str
+        Name of the generation.
+    created : int
+        Wall clock, seconds since the epoch.
+    """
+
+    def __init__(
+        self, request: CompletionRequest, generation_id: str, created: int
+    ) -> None:
+        self._is_chat = request.path == CHAT_PATH
+        self._prompt_tokens = request.prompt_tokens
+        kind = "chat.completion" if self._is_chat else "text_completion"
+        self._head = {
+            "id": generation_id,
+            "object": kind,
+            "created": created,
+            "model": request.service,
+        }
+        self._chunk_kind = "chat.completion.chunk" if self._is_chat else kind
+
+    def encode_chunk(self, text: str, finish_reason: str | None = None) -> bytes:
+        """Return one server-sent event."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+        if self._is_chat:
+            choice["delta"] = {"content": text} if text else {}
+        else:
+            choice["text"] = text
+        document = {**self._head, "object": self._chunk_kind, "choices": [choice]}
+        return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+    def encode_end(self, reason: str) -> bytes:
+        """Return the events that mark a whole answer."""
+        return self.encode_chunk("", reason) + b"data: [DONE]\n\n"
+
+    def encode_error(self, document: dict[str, Any]) -> bytes:
+        """Return the event that ends an answer which is not whole."""
+        return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+    def encode_whole(self, text: str, reason: str, tokens: int) -> bytes:
+        """Return the answer to a request that is not streamed."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+        if self._is_chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        usage = {
+            "prompt_tokens": self._prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": self._prompt_tokens + tokens,
+        }
+        document = {**self._head, "choices": [choice], "usage": usage}
+        return msgspec.json.encode(document)
