--- a/conftest.py
+++ b/conftest.py
@@ -2,7 +2,7 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 settings.register_profile(
     "ci",
@@ -18,4 +18,10 @@
     max_examples=int(os.environ.get("PROVE_COUNT", "500")),
     print_blob=True,
 )
+settings.register_profile(
+    "red",
+    parent=settings.get_profile("ci"),
+    max_examples=60,
+    phases=[Phase.generate],
+)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- a/packages/heathertack/src/heathertack/consensus/_effects.py
+++ b/packages/heathertack/src/heathertack/consensus/_effects.py
@@ -1,7 +1,7 @@
 """Effects that a replica asks its host to carry out, in order.
 
-Everything that an effect persists must be synced before a later
-:class:`SendMessage` or :class:`ApplyEntries` is carried out.
+Everything that an effect persists must be synced before a message of a later
+:class:`SendMessage` or an answer due to :class:`ApplyEntries` leaves the host.
 """
 
 from __future__ import annotations
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -317,6 +317,7 @@
         self._answer(event.request_id, "", RESULT_CODEC.encode(answer))
 
     def _carry_out(self, effects: tuple[Effect, ...]) -> None:
+        """Carry out effects; all of them last before an action leaves."""
         for effect in effects:
             match effect:
                 case SaveHardState():
@@ -330,11 +331,9 @@
                 case RestoreSnapshot():
                     self._restore(effect.snapshot.log_index, effect.snapshot.data)
                 case SendMessage():
-                    self._storage.sync()
                     instance = instance_of(effect.to)
                     self._actions.append(SendToPeer(instance, effect.message))
                 case ApplyEntries():
-                    self._storage.sync()
                     self._apply(effect.entries)
                 case ChangeLeadership():
                     self._change_leadership(effect)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
@@ -0,0 +1,262 @@
+"""Control logs of several instances under virtual time and a bad network."""
+
+import random
+from typing import NamedTuple
+
+from heathertack.blackboard import CONTROL, Blackboard
+from heathertack.consensus import Replica, ReplicaTimings
+from heathertack.controllers import (
+    AnswerCommand,
+    CommandSubmitted,
+    ConsensusReceived,
+    ControlLogController,
+    JoinReceived,
+    ProposalsDue,
+    SendToPeer,
+    TimePassed,
+)
+from heathertack.messages import (
+    PEER_CODEC,
+    ControlStatus,
+    JoinRequest,
+    PeerMessage,
+)
+from heathertack.state import ClaimCall, ControlStateMachine
+from heathertack.storage import StorageIdentity, format_folder, open_storage
+from heathertack.storage.tests.memory_disk import MemoryDisk
+
+STEP = 0.05
+
+
+class Flight(NamedTuple):
+    due: float
+    order: float
+    sender: str
+    receiver: str
+    data: bytes
+
+
+class Node:
+    def __init__(self, name: str, rate: float, seed: int) -> None:
+        self.name = name
+        self.rate = rate
+        self.random = random.Random(seed)
+        self.disk = MemoryDisk()
+        self.old_disk: MemoryDisk | None = None
+        self.formats = 0
+        self.identity = ""
+        self.old_identity = ""
+        self.frozen = False
+        self.board = Blackboard()
+        self.log: ControlLogController | None = None
+
+    def format(self, *, forms_cluster: bool) -> None:
+        self.formats += 1
+        identity = StorageIdentity("kalamu", self.name, f"s{self.formats}")
+        format_folder(self.disk, identity, forms_cluster=forms_cluster)
+        self.identity = identity.replica
+
+    def start(self, peers: tuple[str, ...], now: float) -> None:
+        opened = open_storage(self.disk).unwrap()
+        machine = ControlStateMachine()
+        machine.restore_snapshot(opened.durable.snapshot.data)
+        replica = Replica(
+            self.identity, opened.durable, ReplicaTimings(), self.random, now
+        )
+        self.board = Blackboard()
+        self.log = ControlLogController(
+            self.board, replica, opened.storage, machine, peers
+        )
+
+
+class ControlCluster:
+    """Instances a, b, c and so on; a formed the cluster."""
+
+    def __init__(self, count: int = 3, seed: int = 0) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.loss = 0.0
+        rates = (1.0, 1.02, 0.98)
+        names = "abcdefg"[:count]
+        self.nodes = {
+            name: Node(name, rates[i % 3], seed + i) for i, name in enumerate(names)
+        }
+        self.cut: set[str] = set()
+        self.cut_links: set[frozenset[str]] = set()
+        self.flights: list[Flight] = []
+        self.submitted: dict[str, str] = {}
+        self.acknowledged: set[str] = set()
+        self.applied: dict[int, bytes] = {}
+        self.leaders: dict[int, str] = {}
+        for name in names:
+            self.nodes[name].format(forms_cluster=name == "a")
+            self.start(name)
+
+    def clock(self, node: Node) -> float:
+        return self.now * node.rate
+
+    def start(self, name: str) -> None:
+        node = self.nodes[name]
+        peers = tuple(other for other in self.nodes if other != name)
+        node.start(peers, self.clock(node))
+
+    def crash(self, name: str) -> None:
+        node = self.nodes[name]
+        node.log = None
+        node.frozen = False
+        node.disk.crash()
+
+    def wipe(self, name: str) -> None:
+        node = self.nodes[name]
+        node.log = None
+        node.old_disk = node.disk
+        node.old_identity = node.identity
+        node.disk = MemoryDisk()
+        node.format(forms_cluster=False)
+
+    def swap_back(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.old_disk is not None
+        node.log = None
+        node.disk, node.old_disk = node.old_disk, node.disk
+        node.identity, node.old_identity = node.old_identity, node.identity
+
+    def submit(self, key: str) -> bool:
+        """Submit a command at the leader, and tell whether there is one."""
+        name = self.leader()
+        if name is None:
+            return False
+        node = self.nodes[name]
+        assert node.log is not None
+        command = ClaimCall("school", key, "portal", "digest", key, "e", 1)
+        event = CommandSubmitted(f"request-{key}", "", command, self.now)
+        self.submitted[f"request-{key}"] = key
+        self.carry_out(node, node.log.handle(event, self.clock(node)))
+        self.carry_out(node, node.log.handle(ProposalsDue(), self.clock(node)))
+        return True
+
+    def leader(self) -> str | None:
+        leaders = [node.name for node in self.nodes.values() if self.may_lead(node)]
+        assert len(leaders) <= 1, f"two leases at once: {leaders}"
+        return leaders[0] if leaders else None
+
+    def may_lead(self, node: Node) -> bool:
+        if node.log is None or node.frozen:
+            return False
+        return node.board.read(CONTROL).may_lead(self.clock(node))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            self._deliver()
+            for node in self.nodes.values():
+                if node.log is not None and not node.frozen:
+                    passed = TimePassed(self.now)
+                    actions = node.log.handle(passed, self.clock(node))
+                    self.carry_out(node, actions)
+            self.check()
+
+    def run_until_led(self, seconds: float = 20.0) -> str:
+        end = self.now + seconds
+        while self.leader() is None and self.now < end:
+            self.run(STEP)
+        leader = self.leader()
+        assert leader is not None, "no leader was elected"
+        return leader
+
+    def run_until_replicated(self, seconds: float = 40.0) -> None:
+        """Run until every present identity votes and no other one does."""
+        end = self.now + seconds
+        while not self.is_replicated() and self.now < end:
+            self.run(STEP)
+        assert self.is_replicated(), "the replicas did not come together"
+
+    def is_replicated(self) -> bool:
+        name = self.leader()
+        if name is None:
+            return False
+        log = self.nodes[name].log
+        assert log is not None
+        membership = log.replica.membership
+        present = {node.identity for node in self.nodes.values()}
+        if set(membership.voters) != present or membership.learners:
+            return False
+        return all(
+            node.log is not None
+            and not node.frozen
+            and node.log.replica.commit_index == log.replica.commit_index
+            for node in self.nodes.values()
+        )
+
+    def carry_out(self, node: Node, actions: tuple[object, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendToPeer):
+                self._send(node.name, action.instance, action.message)
+            elif (
+                isinstance(action, AnswerCommand)
+                and action.status is ControlStatus.DONE
+            ):
+                self.acknowledged.add(self.submitted[action.request_id])
+
+    def check(self) -> None:
+        """Check what must hold at all times."""
+        leader = self.leader()
+        for node in self.nodes.values():
+            if node.log is None:
+                continue
+            if node.log.replica.role == "leader":
+                term = node.log.replica.term
+                known = self.leaders.setdefault(term, node.identity)
+                assert known == node.identity, f"two leaders in term {term}"
+            self._check_applied(node)
+        if leader is not None:
+            self.check_acknowledged(leader)
+
+    def check_acknowledged(self, name: str) -> None:
+        """Check that an instance which may serve reads knows all that counts."""
+        log = self.nodes[name].log
+        assert log is not None
+        known = {record.key for record in log.machine.calls.records}
+        assert known >= self.acknowledged, f"{name} lost or lacks acknowledged calls"
+
+    def _check_applied(self, node: Node) -> None:
+        assert node.log is not None
+        index = node.log.replica.commit_index
+        state = node.log.machine.encode_snapshot()
+        known = self.applied.setdefault(index, state)
+        assert known == state, f"{node.name} differs at index {index}"
+
+    def _send(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        if receiver not in self.nodes:
+            return
+        data = PEER_CODEC.encode(message)
+        copies = 2 if self.random.random() < self.loss / 2 else 1
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                delay = self.random.uniform(0.0005, 0.02 + self.loss * 0.3)
+                order = self.random.random()
+                flight = Flight(self.now + delay, order, sender, receiver, data)
+                self.flights.append(flight)
+
+    def _deliver(self) -> None:
+        for _ in range(4):
+            due = sorted(f for f in self.flights if f.due <= self.now)
+            held = {f for f in due if self.nodes[f.receiver].frozen}
+            self.flights = [f for f in self.flights if f.due > self.now or f in held]
+            for flight in due:
+                if flight not in held:
+                    self._hand_over(flight)
+
+    def _hand_over(self, flight: Flight) -> None:
+        node = self.nodes[flight.receiver]
+        ends = frozenset({flight.sender, flight.receiver})
+        if node.log is None or self.cut & ends or ends in self.cut_links:
+            return
+        message = PEER_CODEC.decode(flight.data).unwrap()
+        event = (
+            JoinReceived(message)
+            if isinstance(message, JoinRequest)
+            else ConsensusReceived(message)  # type: ignore[arg-type]
+        )
+        self.carry_out(node, node.log.handle(event, self.clock(node)))
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_call.py
@@ -0,0 +1,237 @@
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from heathertack.controllers import (
+    AnswerCaller,
+    AnswerLost,
+    CallController,
+    CallEvent,
+    ClaimAnswered,
+    ClaimTimedOut,
+    Execution,
+    OutcomeRecorded,
+    RecordingTimedOut,
+    RefuseCaller,
+    SendCall,
+    SubmitOutcome,
+    TargetAnswered,
+    TargetUnreached,
+)
+from heathertack.state import (
+    CallFound,
+    CallOutcome,
+    CallRecord,
+    CallState,
+    ClaimCall,
+    ClaimGranted,
+    ControlStateMachine,
+    MarkOwnerLost,
+    RecordOutcome,
+    SettleCall,
+)
+
+OUTCOME = CallOutcome(201, "application/json", b"{}")
+GRANTED = ClaimAnswered(ClaimGranted("c"))
+
+
+def found(state: CallState, digest: str = "d") -> ClaimAnswered:
+    outcome = OUTCOME if state is CallState.FINISHED else None
+    record = CallRecord("a", "k", "s", digest, "x", "e", 1, state, outcome, 0.0, "n")
+    return ClaimAnswered(CallFound(record))
+
+
+# Each row: name, events, last actions, HTTP status and execution of a refusal.
+CASES: list[tuple[str, list[CallEvent], list[type], int, Execution | None]] = [
+    ("granted", [GRANTED], [SendCall], 0, None),
+    ("no claim", [ClaimTimedOut()], [RefuseCaller], 503, Execution.NOT_RUN),
+    ("replay", [found(CallState.FINISHED)], [AnswerCaller], 0, None),
+    ("in progress", [found(CallState.RUNNING)], [RefuseCaller], 409, Execution.UNKNOWN),
+    ("unknown", [found(CallState.UNKNOWN)], [RefuseCaller], 409, Execution.UNKNOWN),
+    ("settled", [found(CallState.SETTLED)], [RefuseCaller], 409, Execution.COMPLETED),
+    (
+        "another body",
+        [found(CallState.FINISHED, "other")],
+        [RefuseCaller],
+        422,
+        Execution.NOT_RUN,
+    ),
+    ("answered", [GRANTED, TargetAnswered(OUTCOME)], [SubmitOutcome], 0, None),
+    (
+        "recorded",
+        [GRANTED, TargetAnswered(OUTCOME), OutcomeRecorded()],
+        [AnswerCaller],
+        0,
+        None,
+    ),
+    (
+        "not recorded in time",
+        [GRANTED, TargetAnswered(OUTCOME), RecordingTimedOut()],
+        [AnswerCaller],
+        0,
+        None,
+    ),
+    ("next target", [GRANTED, TargetUnreached(True)], [SendCall], 0, None),
+    (
+        "no target",
+        [GRANTED, TargetUnreached(False), OutcomeRecorded()],
+        [RefuseCaller],
+        503,
+        Execution.NOT_RUN,
+    ),
+    (
+        "lost answer",
+        [GRANTED, AnswerLost("cut"), OutcomeRecorded()],
+        [RefuseCaller],
+        502,
+        Execution.UNKNOWN,
+    ),
+    ("answered twice", [GRANTED, TargetAnswered(OUTCOME), GRANTED], [], 0, None),
+]
+
+
+class TestCallController:
+    @pytest.mark.parametrize(("name", "events", "kinds", "status", "execution"), CASES)
+    def test_transition(
+        self,
+        name: str,
+        events: list[CallEvent],
+        kinds: list[type],
+        status: int,
+        execution: Execution | None,
+    ) -> None:
+        controller = CallController("c", "d")
+        actions = [controller.handle(event) for event in events][-1]
+        assert [type(action) for action in actions] == kinds, name
+        for action in actions:
+            if isinstance(action, RefuseCaller):
+                assert action.status == status
+                assert action.refusal.execution is execution
+
+
+class CallMachine(RuleBasedStateMachine):
+    """Callers repeat calls at several instances, which die at any moment.
+
+    The target counts executions by key; that count is the oracle.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        self.machine = ControlStateMachine()
+        self.index = 0
+        self.claims: dict[str, tuple[str, str]] = {}
+        self.sent: dict[str, int] = {}
+        self.not_run: set[str] = set()
+        self.owners: dict[str, tuple[str, int]] = {}
+        self.incarnations = {"e1": 1, "e2": 1}
+
+    def apply(self, command: object) -> object:
+        self.index += 1
+        return self.machine.apply(self.index, command)  # type: ignore[arg-type]
+
+    @rule(
+        key=st.sampled_from(["k1", "k2"]),
+        owner=st.sampled_from(["e1", "e2"]),
+        number=st.integers(0, 5),
+    )
+    def claim(self, key: str, owner: str, number: int) -> None:
+        incarnation = self.incarnations[owner]
+        claim_id = f"{owner}.{incarnation}.{key}.{number}"
+        command = ClaimCall("a", key, "s", "d", claim_id, owner, incarnation)
+        result = self.apply(command)
+        if isinstance(result, ClaimGranted):
+            self.claims[claim_id] = (key, owner)
+            self.owners[claim_id] = (owner, incarnation)
+
+    @rule(data=st.data(), arrives=st.booleans())
+    def send(self, data: st.DataObject, arrives: bool) -> None:
+        """An owner sends its call once; a repeated grant does not send again."""
+        ready = sorted(c for c in self.claims if c not in self.sent)
+        if not ready:
+            return
+        claim_id = data.draw(st.sampled_from(ready))
+        self.sent[claim_id] = int(arrives)
+
+    @rule(data=st.data(), answer_is_lost=st.booleans())
+    def record(self, data: st.DataObject, answer_is_lost: bool) -> None:
+        alive = sorted(c for c in self.sent if self.is_alive(c))
+        if not alive:
+            return
+        claim_id = data.draw(st.sampled_from(alive))
+        key = self.claims[claim_id][0]
+        ran = bool(self.sent[claim_id])
+        outcome = OUTCOME if ran and not answer_is_lost else None
+        is_unknown = ran and answer_is_lost
+        command = RecordOutcome("a", key, claim_id, outcome, is_unknown)
+        self.apply(command)
+        if not ran:
+            self.not_run.add(claim_id)
+
+    @rule(owner=st.sampled_from(["e1", "e2"]))
+    def die(self, owner: str) -> None:
+        incarnation = self.incarnations[owner]
+        self.incarnations[owner] += 1
+        self.apply(MarkOwnerLost(owner, incarnation))
+
+    @rule(
+        owner=st.sampled_from(["e1", "e2"]),
+        key=st.sampled_from(["k1", "k2"]),
+        number=st.integers(0, 5),
+    )
+    def abandon(self, owner: str, key: str, number: int) -> None:
+        """An entry gives up a claim whose message may come later."""
+        claim_id = f"{owner}.{self.incarnations[owner]}.{key}.{number}"
+        if claim_id not in self.claims:
+            self.apply(RecordOutcome("a", key, claim_id, None))
+            result = self.apply(
+                ClaimCall("a", key, "s", "d", claim_id, owner, 1),
+            )
+            assert not isinstance(result, ClaimGranted)
+
+    @rule()
+    def restart_replica(self) -> None:
+        restored = ControlStateMachine()
+        restored.restore_snapshot(self.machine.encode_snapshot())
+        assert restored.encode_snapshot() == self.machine.encode_snapshot()
+        self.machine = restored
+
+    def is_alive(self, claim_id: str) -> bool:
+        owner, incarnation = self.owners[claim_id]
+        return self.incarnations[owner] == incarnation
+
+    def teardown(self) -> None:
+        if not hasattr(self, "machine"):
+            return
+        for key in ("k1", "k2"):
+            runs = sum(
+                count
+                for claim, count in self.sent.items()
+                if self.claims[claim][0] == key
+            )
+            assert runs <= 1, f"{key} ran {runs} times"
+        for claim_id in self.not_run:
+            assert self.sent[claim_id] == 0
+        for claim_id, ran in self.sent.items():
+            record = self.machine.calls.find("a", self.claims[claim_id][0])
+            if ran:
+                assert record is not None, "a call that ran is forgotten"
+                if not self.is_alive(claim_id) and record.outcome is None:
+                    assert record.state is CallState.UNKNOWN
+
+
+CallMachine.TestCase.settings = settings(stateful_step_count=40)
+TestCallsRunAtMostOnce = CallMachine.TestCase
+
+
+class TestSettling:
+    @pytest.mark.parametrize(("ran", "is_free"), [(True, False), (False, True)])
+    def test_frees_the_key_only_of_a_call_that_did_not_run(
+        self, ran: bool, is_free: bool
+    ) -> None:
+        machine = ControlStateMachine()
+        machine.apply(1, ClaimCall("a", "k", "s", "d", "c1", "e", 1))
+        machine.apply(2, MarkOwnerLost("e", 1))
+        machine.apply(3, SettleCall("a", "k", ran, "checked by hand"))
+        result = machine.apply(4, ClaimCall("a", "k", "s", "d", "c2", "e", 2))
+        assert isinstance(result, ClaimGranted) is is_free
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_control_log.py
@@ -0,0 +1,183 @@
+from itertools import permutations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from heathertack.controllers.tests.control_cluster import ControlCluster
+
+NAMES = st.sampled_from("abc")
+
+
+class ControlLogMachine(RuleBasedStateMachine):
+    """Loses, reorders and repeats messages, and harms one instance at a time."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def form(self, seed: int) -> None:
+        self.cluster = ControlCluster(3, seed)
+        self.cluster.run_until_replicated()
+        self.keys = 0
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]), loss=st.floats(0, 0.4))
+    def run(self, seconds: float, loss: float) -> None:
+        self.cluster.loss = loss
+        self.cluster.run(seconds)
+        self.cluster.loss = 0.0
+
+    @rule(count=st.integers(1, 5))
+    def submit(self, count: int) -> None:
+        for _ in range(count):
+            self.keys += 1
+            self.cluster.submit(f"key-{self.keys}")
+
+    @rule(name=NAMES)
+    def cut_off(self, name: str) -> None:
+        self.cluster.cut = {name}
+
+    @rule(ends=st.sampled_from(["ab", "ac", "bc"]))
+    def cut_link(self, ends: str) -> None:
+        self.cluster.cut_links = {frozenset(ends)}
+
+    @rule()
+    def heal(self) -> None:
+        self.cluster.cut = set()
+        self.cluster.cut_links = set()
+
+    @rule(name=NAMES)
+    def crash(self, name: str) -> None:
+        self.cluster.crash(name)
+
+    @rule(name=NAMES)
+    def restart(self, name: str) -> None:
+        if self.cluster.nodes[name].log is None:
+            self.cluster.start(name)
+
+    @rule(name=NAMES)
+    def freeze(self, name: str) -> None:
+        self.cluster.nodes[name].frozen = True
+
+    @rule(name=NAMES)
+    def thaw(self, name: str) -> None:
+        self.cluster.nodes[name].frozen = False
+
+    @precondition(lambda self: self.cluster.is_replicated())
+    @rule(name=NAMES, restarts=st.booleans())
+    def wipe(self, name: str, restarts: bool) -> None:
+        self.cluster.wipe(name)
+        if restarts:
+            self.cluster.start(name)
+
+    @precondition(lambda self: self.cluster.is_replicated())
+    @rule(name=NAMES)
+    def swap_disk_back(self, name: str) -> None:
+        if self.cluster.nodes[name].old_disk is not None:
+            self.cluster.swap_back(name)
+            self.cluster.start(name)
+            self.cluster.run(1.0)
+            self.cluster.swap_back(name)
+            self.cluster.start(name)
+
+    def teardown(self) -> None:
+        if not hasattr(self, "cluster"):
+            return
+        self.heal()
+        for name, node in self.cluster.nodes.items():
+            node.frozen = False
+            if node.log is None:
+                self.cluster.start(name)
+        self.cluster.run_until_replicated()
+        self.cluster.check()
+
+
+ControlLogMachine.TestCase.settings = settings(stateful_step_count=30)
+TestControlLogUnderFaults = ControlLogMachine.TestCase
+
+
+@pytest.fixture
+def cluster() -> ControlCluster:
+    formed = ControlCluster(3, seed=1)
+    formed.run_until_replicated()
+    return formed
+
+
+class TestLeadership:
+    def test_new_leader_after_a_crash(self, cluster: ControlCluster) -> None:
+        first = cluster.run_until_led()
+        cluster.submit("k1")
+        cluster.run(0.5)
+        cluster.crash(first)
+        second = cluster.run_until_led(3.0)
+        assert second != first
+        assert cluster.acknowledged == {"k1"}
+
+    def test_leader_without_quorum_serves_no_reads(
+        self, cluster: ControlCluster
+    ) -> None:
+        first = cluster.run_until_led()
+        cluster.cut = {first}
+        cluster.run(0.65)
+        assert not cluster.may_lead(cluster.nodes[first])
+
+    def test_frozen_leader_does_not_lead_when_it_wakes(
+        self, cluster: ControlCluster
+    ) -> None:
+        first = cluster.run_until_led()
+        cluster.nodes[first].frozen = True
+        second = cluster.run_until_led(5.0)
+        cluster.submit("k1")
+        cluster.run(0.5)
+        cluster.nodes[first].frozen = False
+        assert not cluster.may_lead(cluster.nodes[first])
+        cluster.run(1.0)
+        assert cluster.leader() == second
+
+
+class TestStorageIdentity:
+    @pytest.mark.parametrize(("lost", "then"), list(permutations("abc", 2)))
+    def test_second_loss_right_after_a_repair(
+        self, cluster: ControlCluster, lost: str, then: str
+    ) -> None:
+        cluster.run_until_led()
+        cluster.submit("k1")
+        cluster.run(0.5)
+        assert cluster.acknowledged == {"k1"}
+        cluster.wipe(lost)
+        cluster.start(lost)
+        cluster.run_until_replicated()
+        cluster.wipe(then)
+        cluster.start(then)
+        cluster.run_until_replicated()
+        cluster.check_acknowledged(cluster.run_until_led())
+
+    @pytest.mark.parametrize("lost", "abc")
+    def test_emptied_replica_does_not_vote_under_its_old_identity(
+        self, cluster: ControlCluster, lost: str
+    ) -> None:
+        cluster.run_until_led()
+        others = [name for name in "abc" if name != lost]
+        cluster.crash(others[0])
+        cluster.crash(others[1])
+        cluster.wipe(lost)
+        cluster.start(lost)
+        cluster.run(5.0)
+        assert cluster.leader() is None
+        cluster.start(others[0])
+        cluster.run(5.0)
+        assert cluster.leader() is None
+
+    def test_old_disk_is_barred(self, cluster: ControlCluster) -> None:
+        cluster.wipe("b")
+        cluster.start("b")
+        cluster.run_until_replicated()
+        cluster.swap_back("b")
+        cluster.start("b")
+        cluster.run(4.0)
+        log = cluster.nodes[cluster.run_until_led()].log
+        assert log is not None
+        assert "b/s1" not in log.replica.membership.replicas
