--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,13 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format packages
 	$(BIN)/ruff check --fix packages
+
+measure: $(VENV)/.installed
+	$(BIN)/python -m heathertack_fakes.measure
+
+# Runs the state machines for longer: make prove SEED=3 COUNT=2000
+SEED ?= 1
+COUNT ?= 500
+prove: $(VENV)/.installed
+	HYPOTHESIS_PROFILE=prove PROVE_COUNT=$(COUNT) $(BIN)/python -m pytest \
+		--hypothesis-seed=$(SEED) --hypothesis-show-statistics -k "TestCase"
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on admission policies in virtual time."""
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -182,6 +182,13 @@
             return (*replies, AddressedReply(instance, reply))
         return replies
 
+    def refresh(self, generation_id: str, now: float) -> None:
+        """Note that the entry of a waiting request still wants it."""
+        queued = self._queue.remove(generation_id)
+        if queued is not None:
+            waiting = queued.item._replace(heard_at=now)
+            self._queue.add(queued._replace(item=waiting))
+
     def announce(
         self, announce: ReservationAnnounce, instance: str, now: float
     ) -> None:
@@ -418,10 +425,13 @@
         if ledger.count >= tuning.batch_limit:
             return None
         capacity = max(ledger.capacity, 1)
+        candidate = self._predict(request, 0)
         limit = tuning.cache_limit * capacity
+        if candidate.cached + candidate.remaining > tuning.large_part * capacity:
+            limit = tuning.large_cache_limit * capacity
         if ledger.count and ledger.cached + request.prompt_tokens > limit:
             return None
-        peak = ledger.peak_with(self._predict(request, 0))
+        peak = ledger.peak_with(candidate)
         if ledger.count and peak > limit:
             return None
         return (peak - tuning.prefix_weight * saved) / capacity
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -14,7 +14,11 @@
     quantile_step: float = 0.05
     quantile_decay: float = 0.002
     #: Part of the cache that the projected peak may fill.
-    cache_limit: float = 0.96
+    cache_limit: float = 0.98
+    #: The same for large requests, so that small ones need not wait for them.
+    large_cache_limit: float = 0.90
+    #: Part of the cache from which on a request is large.
+    large_part: float = 0.02
     #: Prompt tokens that may wait for their first token on one target, unless
     #: it is a single prompt.
     prefill_budget: int = 1024
