Prove faults on real processes and leases in virtual time

18 scenarios start daemons and stand-ins and harm them: crossed, missing and stalled events, engines killed before and after a token, a request that crashes engines, a caller that leaves, one key at three instances, an owner killed after sending, leaders killed and frozen, an emptied data folder followed by a second loss, raced bundles, SIGTERM under load, a leaving engine, bad callers.

Bundle leases: a hypothesis machine changes leaders, cuts off and restarts instances and delays messages; no instance with a valid lease uses a bundle older than one confirmed in force, and none goes back.

--- a/packages/heathertack-cli/src/heathertack_cli/_client.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import Any, NamedTuple
 
@@ -11,7 +12,9 @@
 
 from heathertack.operators import RequestContent, sign_request
 
-_MOST_REDIRECTIONS = 4
+_MOST_REDIRECTIONS = 2
+_NOT_LEADER_STATUS = 421
+_PAUSE_SECONDS = 0.2
 
 
 class Operator(NamedTuple):
@@ -44,6 +47,9 @@
 ) -> Result[Answer, ServerError]:
     """Send a request to an instance, or to the leader that it names.
 
+    While no instance leads, it is sent again until the time is over. Every
+    request of an operator may be repeated without harm.
+
     Parameters
     ----------
     operator : Operator
@@ -60,18 +66,30 @@
     """
     body = b"" if document is None else msgspec.json.encode(document)
     content = RequestContent(method, path, body)
+    deadline = time.monotonic() + operator.timeout
+    async with aiohttp.ClientSession() as session:
+        while True:
+            result = await _ask_once(session, operator, content)
+            is_over = time.monotonic() >= deadline
+            if isinstance(result, Success) or is_over:
+                return result
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+
+async def _ask_once(
+    session: aiohttp.ClientSession, operator: Operator, content: RequestContent
+) -> Result[Answer, ServerError]:
+    """Ask the given instance and, if it names one, the leader."""
     server = operator.server
-    timeout = aiohttp.ClientTimeout(total=operator.timeout)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with asyncio.timeout(operator.timeout):
             for _ in range(_MOST_REDIRECTIONS):
                 answer = await _send(session, operator, server, content)
-                if answer.status != 421:
+                if answer.status != _NOT_LEADER_STATUS:
                     return Success(answer)
-                leader = answer.document["error"]["address"]
-                if not leader:
-                    return Failure(ServerError("no instance leads at present"))
-                server = leader
+                server = answer.document["error"]["address"]
+                if not server:
+                    break
     except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
         return Failure(ServerError(f"{server}: no answer: {error!r}"))
     return Failure(ServerError("no instance leads at present"))
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -0,0 +1,266 @@
+import pytest
+
+from heathertack.controllers import AdmissionGroup, EngineLoad
+from heathertack.messages import (
+    ReservationAnnounce,
+    ReservationGrant,
+    ReservationOutcome,
+    ReservationQueued,
+    ReservationRefusal,
+    ReservationRelease,
+    ReservationRequest,
+)
+from heathertack.policy import AdmissionTuning, LengthEstimator
+
+TUNING = AdmissionTuning(settling=0.0)
+LIVE = frozenset({"entry"})
+
+
+def request(
+    key: str,
+    *,
+    prompt: int = 100,
+    priority: int = 1,
+    account: str = "school",
+    patience: float = 10.0,
+    attempt: int = 1,
+    fingerprint: str = "",
+    excluded: tuple[str, ...] = (),
+    max_tokens: int = 400,
+) -> ReservationRequest:
+    return ReservationRequest(
+        generation_id=key,
+        attempt=attempt,
+        service="tutor",
+        group="tutor:0",
+        account=account,
+        class_name="critique",
+        priority=priority,
+        share=1.0,
+        prompt_tokens=prompt,
+        max_tokens=max_tokens,
+        prefix=(),
+        fingerprint=fingerprint or key,
+        excluded=excluded,
+        patience=patience,
+    )
+
+
+class Group:
+    """A group whose replies are kept by generation."""
+
+    def __init__(self, engines: int = 1, capacity: int = 1000) -> None:
+        self.group = AdmissionGroup("tutor:0", TUNING, LengthEstimator(), 0.0)
+        self.group.set_targets({f"e{i}": capacity for i in range(engines)})
+        self.replies: dict[str, object] = {}
+
+    def keep(self, replies: tuple[object, ...]) -> None:
+        for addressed in replies:
+            reply = addressed.reply  # type: ignore[attr-defined]
+            self.replies[reply.generation_id] = reply
+
+    def ask(self, wanted: ReservationRequest, now: float = 0.0, losses: int = 0) -> str:
+        self.keep(self.group.request(wanted, "entry", losses, now))
+        return self.target(wanted.generation_id)
+
+    def target(self, key: str) -> str:
+        reply = self.replies[key]
+        return reply.target if isinstance(reply, ReservationGrant) else ""
+
+    def started(self, key: str, now: float = 0.0) -> None:
+        self.group.note_progress(key, 1, now)
+
+    def end(
+        self,
+        key: str,
+        now: float = 0.0,
+        outcome: ReservationOutcome = ReservationOutcome.FINISHED,
+        attempt: int = 1,
+    ) -> None:
+        self.group.release(
+            ReservationRelease("tutor:0", key, attempt, outcome, 50), now
+        )
+        self.keep(self.group.dispatch(now))
+
+
+class TestPlacing:
+    def test_spreads_over_engines(self) -> None:
+        group = Group(engines=2)
+        assert {group.ask(request("a")), group.ask(request("b"))} == {"e0", "e1"}
+
+    def test_full_engine_gets_no_new_work(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=700))
+        group.started("a")
+        assert group.ask(request("b", prompt=400)) == ""
+        assert isinstance(group.replies["b"], ReservationQueued)
+        group.end("a")
+        assert group.target("b") == "e0"
+
+    def test_request_larger_than_an_engine_runs_alone(self) -> None:
+        assert Group().ask(request("a", prompt=5000)) == "e0"
+
+    def test_long_prompts_wait_for_the_first_token_of_others(self) -> None:
+        group = Group(capacity=100_000)
+        group.ask(request("a", prompt=900))
+        assert group.ask(request("b", prompt=900)) == ""
+        group.started("a")
+        group.keep(group.group.dispatch(0.0))
+        assert group.target("b") == "e0"
+
+    def test_repeated_request_gets_the_same_answer(self) -> None:
+        group = Group(engines=3)
+        assert group.ask(request("a")) == group.ask(request("a"))
+        assert group.group.held_count == 1
+
+    def test_new_attempt_avoids_the_lost_engine(self) -> None:
+        group = Group(engines=2)
+        first = group.ask(request("a"))
+        second = group.ask(request("a", attempt=2, excluded=(first,)))
+        assert second not in ("", first)
+        assert group.group.held_count == 1
+
+    @pytest.mark.parametrize("outcome", ["target_lost", "unreachable", "rejected"])
+    def test_engine_that_failed_is_avoided(self, outcome: str) -> None:
+        group = Group(engines=2)
+        failed = group.ask(request("a"))
+        group.end("a", outcome=ReservationOutcome(outcome))
+        assert group.ask(request("b")) not in ("", failed)
+
+    def test_last_engine_is_used_although_it_failed(self) -> None:
+        group = Group(engines=1)
+        group.ask(request("a"))
+        group.end("a", outcome=ReservationOutcome.TARGET_LOST)
+        assert group.ask(request("b")) == "e0"
+
+    def test_foreign_load_counts(self) -> None:
+        group = Group(capacity=1000)
+        group.group.note_load("e0", EngineLoad(1, 1, 0, 900, 1000, 0), 0.0)
+        group.ask(request("tiny", prompt=10, max_tokens=10))
+        group.started("tiny")
+        assert group.ask(request("b", prompt=300)) == ""
+
+    def test_preemptions_raise_the_reserved_quantile(self) -> None:
+        group = Group().group
+        before = group.quantile
+        group.note_load("e0", EngineLoad(1, 1, 0, 10, 1000, 0), 0.0)
+        group.note_load("e0", EngineLoad(2, 1, 0, 10, 1000, 2), 0.5)
+        assert group.quantile > before
+        group.pass_time(LIVE, 1000.0)
+        assert group.quantile == before
+
+
+class TestOrder:
+    def test_priority_goes_first(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=900))
+        group.started("a")
+        group.ask(request("low", prompt=800))
+        group.ask(request("high", prompt=800, priority=2))
+        group.end("a")
+        assert (group.target("low"), group.target("high")) == ("", "e0")
+
+    def test_large_account_does_not_starve_a_small_one(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=900, account="large"))
+        group.started("a")
+        for number in range(5):
+            group.ask(request(f"large-{number}", prompt=800, account="large"))
+        group.ask(request("small", prompt=800, account="small"))
+        group.end("a")
+        assert group.target("small") == "e0"
+
+    def test_short_one_passes_a_head_that_does_not_fit(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=600))
+        group.started("a")
+        group.ask(request("long", prompt=900))
+        assert group.ask(request("short", prompt=20, max_tokens=20)) == "e0"
+
+    def test_nobody_passes_an_old_head(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=600))
+        group.started("a")
+        group.ask(request("long", prompt=900, patience=60.0))
+        late = TUNING.head_age_limit + 0.1
+        assert group.ask(request("short", prompt=20, max_tokens=20), late) == ""
+
+
+class TestRefusals:
+    def refusal(self, group: Group, key: str) -> ReservationRefusal:
+        reply = group.replies[key]
+        assert isinstance(reply, ReservationRefusal)
+        assert reply.retry_after >= 1.0
+        return reply
+
+    def test_late_request_is_refused_at_its_deadline(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=900))
+        group.started("a")
+        group.ask(request("b", prompt=800, patience=2.0))
+        group.started("a", 1.9)
+        group.keep(group.group.pass_time(LIVE, 2.0))
+        assert self.refusal(group, "b").code == "overloaded"
+
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=900))
+        group.started("a")
+        for number in range(20):
+            group.ask(request(f"b{number}", prompt=800, patience=60.0), 0.1)
+        group.started("a", 3.5)
+        group.ask(request("c", prompt=800, patience=2.0), 4.0)
+        assert self.refusal(group, "c").code == "overloaded"
+
+    def test_full_queue_refuses(self) -> None:
+        group = Group()
+        group.ask(request("a", prompt=900))
+        group.started("a")
+        for number in range(TUNING.queue_limit):
+            group.ask(request(f"b{number}", prompt=800))
+        group.ask(request("c", prompt=800))
+        assert self.refusal(group, "c").code == "queue_full"
+
+    def test_request_that_took_two_engines_down_is_refused(self) -> None:
+        group = Group(engines=3)
+        group.ask(request("a"), losses=2)
+        assert self.refusal(group, "a").code == "quarantined"
+
+    def test_two_losses_seen_here_are_enough(self) -> None:
+        group = Group(engines=4)
+        for attempt in (1, 2):
+            group.ask(request("a", attempt=attempt, fingerprint="f"))
+            lost = ReservationOutcome.TARGET_LOST
+            group.end("a", outcome=lost, attempt=attempt)
+        group.ask(request("b", fingerprint="f"))
+        assert self.refusal(group, "b").code == "quarantined"
+
+    def test_suspect_runs_once_at_a_time(self) -> None:
+        group = Group(engines=4)
+        assert group.ask(request("a", fingerprint="f"), losses=1)
+        assert group.ask(request("b", fingerprint="f"), losses=1) == ""
+
+
+class TestOwnership:
+    def test_new_owner_waits_for_announcements(self) -> None:
+        tuning = AdmissionTuning(settling=0.6)
+        group = AdmissionGroup("tutor:0", tuning, LengthEstimator(), 10.0)
+        group.set_targets({"e0": 1000})
+        group.request(request("b", prompt=500), "entry", 0, 10.1)
+        announced = ReservationAnnounce(request("a", prompt=900), "e0", 5)
+        group.announce(announced, "entry", 10.2)
+        assert not group.dispatch(10.7)
+
+    @pytest.mark.parametrize(
+        ("live", "now"), [(frozenset[str](), 1.0), (LIVE, 5.0)], ids=["gone", "silent"]
+    )
+    def test_reservations_of_a_lost_entry_are_freed(
+        self, live: frozenset[str], now: float
+    ) -> None:
+        group = Group()
+        group.ask(request("a"))
+        group.group.pass_time(live, now)
+        assert group.group.is_idle
+
+    def test_unknown_generation_is_asked_for(self) -> None:
+        assert not Group().group.note_progress("x", 3, 0.0)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -0,0 +1,310 @@
+import json
+from typing import ClassVar
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from heathertack.blackboard import (
+    BUNDLE,
+    CONTROL,
+    LEASE,
+    MEMBERS,
+    TARGETS,
+    Blackboard,
+    ControlView,
+    Section,
+)
+from heathertack.bundle import SignedBundle
+from heathertack.controllers import (
+    LEASE_TIMINGS,
+    BundleCommitted,
+    ConfirmBundleInForce,
+    GrantReceived,
+    InstanceIdentity,
+    LeaseDue,
+    LeaseGrantorController,
+    LeaseHolderController,
+    LeaseRequested,
+    LeavingReported,
+    PlatformListed,
+    ProposeCommand,
+    SendToPeer,
+    TimePassed,
+)
+from heathertack.messages import (
+    LeaseGrant,
+    LeaseRequest,
+    MemberState,
+    TargetRecord,
+    TargetState,
+)
+from heathertack.state import AcceptedBundle, MarkOwnerLost
+
+STEP = 0.1
+
+
+def accepted(index: int) -> AcceptedBundle:
+    text = json.dumps(
+        {"version": index, "services": {}, "classes": {"c": index}, "accounts": {}}
+    )
+    return AcceptedBundle(index, index, "", SignedBundle(text, "", ""), 0.0)
+
+
+def target(state: TargetState = TargetState.LIVE, name: str = "e1") -> TargetRecord:
+    return TargetRecord(name, "tutor", "127.0.0.1:1", "nairobi-a", state, 1000)
+
+
+class ControlWriter:
+    """Stands for the control log."""
+
+    READS: ClassVar[tuple[Section[object], ...]] = ()
+    WRITES: ClassVar[tuple[Section[ControlView], ...]] = (CONTROL,)
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        board.register(self)
+
+    def set(self, view: ControlView) -> None:
+        self._board.write(self, CONTROL, view)
+
+
+class Leader:
+    def __init__(self, name: str) -> None:
+        board = Blackboard()
+        self.name = name
+        self.control = ControlWriter(board)
+        self.grantor = LeaseGrantorController(board, name, LEASE_TIMINGS)
+
+    def lead(self, term: int, until: float) -> None:
+        self.control.set(ControlView(True, term, until))
+
+
+class Holder:
+    def __init__(self, name: str, incarnation: int, leaders: tuple[str, ...]) -> None:
+        self.name = name
+        self.board = Blackboard()
+        identity = InstanceIdentity(name, incarnation, "127.0.0.1:1", "nairobi-a")
+        self.controller = LeaseHolderController(
+            self.board, identity, leaders, LEASE_TIMINGS
+        )
+
+    @property
+    def index(self) -> int:
+        return self.board.read(BUNDLE).log_index
+
+    def may_serve(self, now: float) -> bool:
+        return self.board.read(LEASE).is_valid(now)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Leaders follow each other, instances are cut off and restart."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 0.0
+        self.term = 0
+        self.committed: list[int] = []
+        self.leaders = {name: Leader(name) for name in ("p", "q")}
+        self.leader = "p"
+        self.lease_until = 0.0
+        self.holders = {
+            name: Holder(name, 1, ("p", "q")) for name in ("e1", "e2", "e3")
+        }
+        self.incarnations = dict.fromkeys(self.holders, 1)
+        self.highest = dict.fromkeys(self.holders, 0)
+        self.flights: list[tuple[float, str, str, object]] = []
+        self.cut: set[str] = set()
+        self.change_leader("p")
+
+    @rule(name=st.sampled_from(["p", "q"]))
+    def change_leader(self, name: str) -> None:
+        """The next leader starts once the lease of the last one is over."""
+        self.now = max(self.now, self.lease_until)
+        self.term += 1
+        self.leader = name
+        self.renew()
+
+    def renew(self) -> None:
+        self.lease_until = self.now + 0.6
+        self.leaders[self.leader].lead(self.term, self.lease_until)
+
+    @rule(steps=st.integers(1, 25), renews=st.booleans())
+    def run(self, steps: int, renews: bool) -> None:
+        for _ in range(steps):
+            self.now += STEP
+            if renews or self.now < self.lease_until - 0.3:
+                self.renew() if renews else None
+            self.deliver()
+            for leader in self.leaders.values():
+                actions = leader.grantor.handle(TimePassed(0.0), self.now)
+                self.carry_out(leader.name, actions)
+            for holder in self.holders.values():
+                actions = holder.controller.handle(LeaseDue(), self.now)
+                self.carry_out(holder.name, actions)
+            self.check()
+
+    @rule()
+    def commit_bundle(self) -> None:
+        leader = self.leaders[self.leader]
+        if self.now >= self.lease_until:
+            return
+        index = len(self.committed) + 1
+        self.committed.append(index)
+        for each in self.leaders.values():
+            event = BundleCommitted(accepted(index))
+            self.carry_out(each.name, each.grantor.handle(event, self.now))
+        assert leader.name == self.leader
+
+    @rule(name=st.sampled_from(["e1", "e2", "e3"]))
+    def cut_off(self, name: str) -> None:
+        self.cut.add(name)
+
+    @rule()
+    def heal(self) -> None:
+        self.cut.clear()
+
+    @rule(name=st.sampled_from(["e1", "e2", "e3"]))
+    def restart(self, name: str) -> None:
+        self.incarnations[name] += 1
+        self.highest[name] = 0
+        self.holders[name] = Holder(name, self.incarnations[name], ("p", "q"))
+        assert not self.holders[name].may_serve(self.now)
+
+    @rule()
+    def delay_all(self) -> None:
+        """Messages in flight arrive late, when others have overtaken them."""
+        self.flights = [(at + 1.0, *rest) for at, *rest in self.flights]  # type: ignore[misc]
+
+    def carry_out(self, sender: str, actions: tuple[object, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendToPeer):
+                flight = (self.now + 0.05, sender, action.instance, action.message)
+                self.flights.append(flight)
+            elif isinstance(action, ConfirmBundleInForce):
+                self.check_in_force(action.log_index)
+
+    def deliver(self) -> None:
+        due = [flight for flight in self.flights if flight[0] <= self.now]
+        self.flights = [flight for flight in self.flights if flight[0] > self.now]
+        for _, sender, receiver, message in due:
+            if self.cut & {sender, receiver}:
+                continue
+            if isinstance(message, LeaseRequest) and receiver in self.leaders:
+                grantor = self.leaders[receiver].grantor
+                actions = grantor.handle(LeaseRequested(message), self.now)
+                self.carry_out(receiver, actions)
+            elif isinstance(message, LeaseGrant):
+                controller = self.holders[receiver].controller
+                got = controller.handle(GrantReceived(message), self.now)
+                self.carry_out(receiver, got)
+
+    def check_in_force(self, index: int) -> None:
+        for holder in self.holders.values():
+            if holder.may_serve(self.now):
+                assert holder.index >= index, f"{holder.name} serves an older bundle"
+
+    def check(self) -> None:
+        for name, holder in self.holders.items():
+            assert holder.index >= self.highest[name], "a bundle went back"
+            self.highest[name] = holder.index
+        for leader in self.leaders.values():
+            self.check_in_force(leader.grantor.in_force_index)
+
+    def teardown(self) -> None:
+        """Without faults, every instance uses the last bundle within 3 s."""
+        if not hasattr(self, "now"):
+            return
+        self.heal()
+        self.flights.clear()
+        self.change_leader(self.leader)
+        self.commit_bundle()
+        self.run(30, renews=True)
+        for holder in self.holders.values():
+            assert holder.index == len(self.committed)
+            assert holder.may_serve(self.now)
+        leader = self.leaders[self.leader]
+        assert leader.grantor.in_force_index == len(self.committed)
+
+
+LeaseMachine.TestCase.settings = settings(stateful_step_count=30)
+TestBundleLeasesUnderFaults = LeaseMachine.TestCase
+
+
+class TestLeaseGrantor:
+    @staticmethod
+    def request(
+        incarnation: int = 1, leaving: bool = False, at: float = 0.0
+    ) -> LeaseRequested:
+        holder = Holder("e1", incarnation, ("p",))
+        (action,) = holder.controller.handle(LeaseDue(), at)
+        assert isinstance(action.message, LeaseRequest)
+        return LeaseRequested(action.message._replace(leaving=leaving))
+
+    def test_leader_without_a_lease_grants_nothing(self) -> None:
+        leader = Leader("p")
+        leader.lead(1, until=1.0)
+        (action,) = leader.grantor.handle(self.request(), 1.5)
+        assert isinstance(action, SendToPeer)
+        assert not isinstance(action.message, LeaseGrant)
+
+    @pytest.mark.parametrize(
+        ("silence", "second", "lost"),
+        [(2.1, 1, {0, 1}), (0.4, 2, {0, 1}), (0.4, 1, {0})],
+    )
+    def test_marks_the_calls_of_a_lost_process(
+        self, silence: float, second: int, lost: set[int]
+    ) -> None:
+        leader = Leader("p")
+        leader.lead(1, until=100.0)
+        actions = [*leader.grantor.handle(self.request(), 0.0)]
+        if silence > LEASE_TIMINGS.member_timeout:
+            actions += leader.grantor.handle(TimePassed(0.0), silence)
+        else:
+            again = self.request(second, at=silence)
+            actions += leader.grantor.handle(again, silence)
+        commands = [a.command for a in actions if isinstance(a, ProposeCommand)]
+        marked = {c.incarnation for c in commands if isinstance(c, MarkOwnerLost)}
+        assert marked == lost
+
+    @pytest.mark.parametrize(
+        "events",
+        [
+            [PlatformListed((target(TargetState.LEAVING),))],
+            [PlatformListed(())],
+            [LeavingReported("e1")],
+            [LeavingReported("e1"), PlatformListed((target(),))],
+        ],
+        ids=["listed as leaving", "not listed", "reported", "list lags"],
+    )
+    def test_leaving_target_is_pushed_at_once(
+        self, events: list[PlatformListed | LeavingReported]
+    ) -> None:
+        leader = Leader("p")
+        leader.lead(1, until=100.0)
+        holder = Holder("e1", 1, ("p",))
+        (request,) = holder.controller.handle(LeaseDue(), 0.0)
+        assert isinstance(request.message, LeaseRequest)
+        leader.grantor.handle(PlatformListed((target(),)), 0.0)
+        sent = [*leader.grantor.handle(LeaseRequested(request.message), 0.0)]
+        for event in events:
+            sent += leader.grantor.handle(event, 0.1)
+        for action in sent:
+            if isinstance(action, SendToPeer) and isinstance(
+                action.message, LeaseGrant
+            ):
+                holder.controller.handle(GrantReceived(action.message), 0.1)
+        assert holder.board.read(TARGETS)["e1"].state is not TargetState.LIVE
+        assert holder.board.read(LEASE).valid_until == LEASE_TIMINGS.duration
+
+    def test_member_that_leaves_is_listed_as_leaving(self) -> None:
+        leader = Leader("p")
+        leader.lead(1, until=100.0)
+        actions = leader.grantor.handle(self.request(leaving=True), 0.0)
+        holder = Holder("e1", 1, ("p",))
+        for action in actions:
+            if isinstance(action, SendToPeer):
+                assert isinstance(action.message, LeaseGrant)
+                holder.controller.handle(GrantReceived(action.message), 0.0)
+        assert holder.board.read(MEMBERS)["e1"].state is MemberState.LEAVING
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -0,0 +1,497 @@
+"""Faults on real processes. Logic of the same faults is tested in virtual time."""
+
+import asyncio
+import json
+import shutil
+import signal
+from typing import Any, ClassVar
+
+import aiohttp
+import pytest
+
+from heathertack_fakes._caller import book_seat, fetch_addresses, stream_chat
+from heathertack_fakes._local_system import (
+    CALLER_KEY,
+    HOST,
+    SMALL_CALLER_KEY,
+    LocalSystem,
+    SystemShape,
+    build_bundle,
+)
+from heathertackd.tests.conftest import Start
+
+PATIENCE_SECONDS = 30.0
+
+
+def entry(system: LocalSystem, number: int = 0) -> str:
+    return f"{HOST}:{system.http_ports[system.names[number]]}"
+
+
+def expected_text(length: int) -> str:
+    return "".join(f"t{offset} " for offset in range(length))
+
+
+async def fetch(session: aiohttp.ClientSession, port: int, path: str) -> Any:
+    async with session.get(f"http://{HOST}:{port}{path}") as response:
+        return await response.json()
+
+
+async def send(
+    session: aiohttp.ClientSession, port: int, path: str, document: object
+) -> None:
+    method = "PUT" if path == "/instances" else "POST"
+    url = f"http://{HOST}:{port}{path}"
+    async with session.request(method, url, json=document) as response:
+        assert response.status == 200
+
+
+async def wait_for_engine(session: aiohttp.ClientSession, system: LocalSystem) -> int:
+    """Return the number of the engine that has the only generation."""
+    for _ in range(int(PATIENCE_SECONDS / 0.05)):
+        for number, port in enumerate(system.engine_ports):
+            if (await fetch(session, port, "/seen"))["generations"]:
+                return number
+        await asyncio.sleep(0.05)
+    raise AssertionError("no engine got the generation")
+
+
+def find_leader(system: LocalSystem) -> str:
+    for _ in range(200):
+        status = system.operate("status", "--json")
+        if status.returncode == 0:
+            document = json.loads(status.stdout)
+            if document["leader"] in system.running and document["lease_is_valid"]:
+                leader: str = document["leader"]
+                return leader
+    raise AssertionError("no leader")
+
+
+class TestStreams:
+    @pytest.mark.parametrize(
+        "faults",
+        [{"mixes_events": True}, {"omits_every": 3}, {"stalls_streams": True}],
+        ids=["crossed and repeated", "missing", "stalled"],
+    )
+    def test_every_token_once_and_in_order(
+        self, start_system: Start, faults: dict[str, Any]
+    ) -> None:
+        system = start_system(SystemShape(daemons=1))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                (port,) = system.engine_ports
+                await send(session, port, "/faults", faults)
+                prompt = "[[length=30]]"
+                address = entry(system)
+                task = asyncio.create_task(
+                    stream_chat(session, address, CALLER_KEY, prompt)
+                )
+                await asyncio.sleep(1.5 if "stalls_streams" in faults else 0.0)
+                await send(session, port, "/faults", {})
+                answer = await task
+            assert answer.text == expected_text(30)
+            assert answer.is_whole
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("stream", [True, False])
+    def test_engine_killed_before_the_first_token(
+        self, start_system: Start, stream: bool
+    ) -> None:
+        system = start_system(SystemShape(daemons=1, engines=2, engine_step=0.7))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                body = {
+                    "model": "tutor-model",
+                    "prompt": "[[length=2]]",
+                    "stream": stream,
+                }
+                headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+                url = f"http://{entry(system)}/v1/completions"
+
+                async def ask() -> str:
+                    async with session.post(url, json=body, headers=headers) as answer:
+                        assert answer.status == 200
+                        return await answer.text()
+
+                task = asyncio.create_task(ask())
+                number = await wait_for_engine(session, system)
+                system.send_signal(f"engine-{number + 1}", signal.SIGKILL)
+                text = await task
+                assert "t0 " in text
+                assert "t1 " in text
+                assert text.count("t0 ") == 1
+
+        asyncio.run(scenario())
+
+    def test_engine_killed_after_a_token(self, start_system: Start) -> None:
+        system = start_system(SystemShape(daemons=1, engines=2, engine_step=0.05))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                prompt = "[[length=500]]"
+                task = asyncio.create_task(
+                    stream_chat(session, entry(system), CALLER_KEY, prompt)
+                )
+                number = await wait_for_engine(session, system)
+                await asyncio.sleep(0.5)
+                system.send_signal(f"engine-{number + 1}", signal.SIGKILL)
+                answer = await task
+            assert not answer.is_whole
+            assert answer.error["code"] == "target_lost"
+            assert answer.error["execution"] == "unknown"
+            made = answer.text.split()
+            assert made == [f"t{offset}" for offset in range(len(made))]
+            assert made
+
+        asyncio.run(scenario())
+
+    def test_request_that_crashes_engines(self, start_system: Start) -> None:
+        system = start_system(SystemShape(daemons=3, engines=4))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                answers = [
+                    await stream_chat(
+                        session, entry(system, number % 3), CALLER_KEY, "[[crash]]"
+                    )
+                    for number in range(4)
+                ]
+                other = await stream_chat(
+                    session, entry(system), CALLER_KEY, "[[length=3]]"
+                )
+            assert [a.error["code"] for a in answers] == ["quarantined"] * 4
+            assert all(a.error["retry_after"] > 0 for a in answers)
+            engines = [name for name in system.running if name.startswith("engine")]
+            assert len(engines) == 2
+            assert other.is_whole
+
+        asyncio.run(scenario())
+        listed = system.operate("quarantine", "--json")
+        (record,) = json.loads(listed.stdout)["requests"]
+        assert len(record["targets"]) == 2
+
+    def test_caller_that_leaves_is_cancelled_at_the_engine(
+        self, start_system: Start
+    ) -> None:
+        system = start_system(SystemShape(daemons=1, engine_step=0.05))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                task = asyncio.create_task(
+                    stream_chat(session, entry(system), CALLER_KEY, "[[length=900]]")
+                )
+                await wait_for_engine(session, system)
+                await asyncio.sleep(0.3)
+                task.cancel()
+                for _ in range(int(PATIENCE_SECONDS / 0.1)):
+                    seen = await fetch(session, system.engine_ports[0], "/seen")
+                    if seen["cancelled"]:
+                        return
+                    await asyncio.sleep(0.1)
+            raise AssertionError("the engine was not told")
+
+        asyncio.run(scenario())
+
+
+class TestCalls:
+    def test_one_key_at_three_instances_at_once(self, start_system: Start) -> None:
+        system = start_system(SystemShape(control=3))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                (port,) = system.plain_ports
+                await send(session, port, "/delay", {"seconds": 0.3})
+                answers = await asyncio.gather(
+                    *(
+                        book_seat(session, entry(system, i % 3), CALLER_KEY, "k", 1)
+                        for i in range(6)
+                    )
+                )
+                executions = await fetch(session, port, "/executions")
+                again = await book_seat(session, entry(system), CALLER_KEY, "k", 1)
+                other = await book_seat(session, entry(system), CALLER_KEY, "k", 2)
+            assert executions == {"k": 1}
+            assert sorted(a.status for a in answers)[0] == 201
+            assert {a.status for a in answers} <= {201, 409}
+            assert (again.status, again.is_replay) == (201, True)
+            assert other.status == 422
+            assert other.document["error"]["execution"] == "not_run"
+
+        asyncio.run(scenario())
+
+    def test_owner_killed_after_sending(self, start_system: Start) -> None:
+        system = start_system(SystemShape(daemons=3, control=1))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                (port,) = system.plain_ports
+                await send(session, port, "/delay", {"seconds": 2.0})
+                task = asyncio.create_task(
+                    book_seat(session, entry(system, 2), CALLER_KEY, "k", 1)
+                )
+                while not await fetch(session, port, "/executions"):
+                    await asyncio.sleep(0.05)
+                system.send_signal("entry-3", signal.SIGKILL)
+                with pytest.raises(aiohttp.ClientError):
+                    await task
+                answer = await book_seat(session, entry(system), CALLER_KEY, "k", 1)
+                while answer.document["error"]["code"] == "in_progress":
+                    await asyncio.sleep(0.3)
+                    answer = await book_seat(session, entry(system), CALLER_KEY, "k", 1)
+                executions = await fetch(session, port, "/executions")
+            assert answer.document["error"]["execution"] == "unknown"
+            assert executions == {"k": 1}
+
+        asyncio.run(scenario())
+        listed = json.loads(system.operate("calls", "--unknown", "--json").stdout)
+        assert [call["key"] for call in listed["calls"]] == ["k"]
+        settled = system.operate(
+            "calls", "settle", "evening-school", "k", "--ran", "--note=seen in the log"
+        )
+        assert settled.returncode == 0, settled.stderr
+        listed = json.loads(system.operate("calls", "--unknown", "--json").stdout)
+        assert listed["calls"] == []
+
+
+class TestControl:
+    def test_leader_killed_and_frozen(self, start_system: Start) -> None:
+        system = start_system(SystemShape(control=3))
+        wait_for_voters(system, 3)
+        first = find_leader(system)
+        system.send_signal(first, signal.SIGKILL)
+        second = find_leader(system)
+        assert second != first
+        assert apply_until_accepted(system, 2) == 0
+        system.start_daemon(first)
+        wait_for_voters(system, 3)
+        system.send_signal(second, signal.SIGSTOP)
+        others = [name for name in system.names if name != second]
+        third = find_leader_at(system, others)
+        assert third != second
+        applied = operate_at(system, third, 3)
+        assert applied == 0
+        system.send_signal(second, signal.SIGCONT)
+        asyncio.run(system.wait_until_ready())
+        assert {bundle_version(system, name) for name in system.names} == {3}
+
+    def test_emptied_data_folder_and_a_second_loss(self, start_system: Start) -> None:
+        system = start_system(SystemShape(control=3))
+        wait_for_voters(system, 3)
+        before = set(replicas(system))
+        system.send_signal("entry-1", signal.SIGKILL)
+        asyncio.run(system.wait_for_exit("entry-1", PATIENCE_SECONDS))
+        shutil.rmtree(system.data_folder("entry-1"))
+        system.start_daemon("entry-1")
+        asyncio.run(system.wait_for_http())
+        while len(before & set(replicas(system))) != 2 or len(replicas(system)) != 3:
+            asyncio.run(asyncio.sleep(0.2))
+        system.send_signal("entry-2", signal.SIGKILL)
+        asyncio.run(system.wait_for_exit("entry-2", PATIENCE_SECONDS))
+        shutil.rmtree(system.data_folder("entry-2"))
+        assert apply_until_accepted(system, 2) == 0
+
+    def test_equal_versions_of_two_operators(self, start_system: Start) -> None:
+        system = start_system(SystemShape())
+        first = system.apply_bundle(build_bundle(2))
+        again = system.apply_bundle(build_bundle(2))
+        other = build_bundle(2)
+        other["classes"]["extra"] = 3
+        conflict = system.apply_bundle(other)
+        older = system.apply_bundle(build_bundle(1))
+        assert (first.returncode, again.returncode) == (0, 0)
+        assert first.stdout == again.stdout
+        assert (conflict.returncode, older.returncode) == (1, 1)
+        assert "conflict" in conflict.stderr
+        assert "older" in older.stderr
+
+    def test_restart_after_many_changes(self, start_system: Start) -> None:
+        system = start_system(SystemShape())
+        system.send_signal("entry-3", signal.SIGKILL)
+        asyncio.run(system.wait_for_exit("entry-3", PATIENCE_SECONDS))
+        for version in range(2, 12):
+            assert system.apply_bundle(build_bundle(version)).returncode == 0
+        system.start_daemon("entry-3")
+        asyncio.run(system.wait_until_ready())
+        assert bundle_version(system, "entry-3") == 11
+
+
+class TestLeaving:
+    def test_shutdown_cuts_off_nothing(self, start_system: Start) -> None:
+        system = start_system(SystemShape(engine_step=0.03))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                (port,) = system.plain_ports
+                await send(session, port, "/delay", {"seconds": 2.0})
+                address = entry(system, 2)
+                streams = [
+                    asyncio.create_task(
+                        stream_chat(session, address, CALLER_KEY, "[[length=120]]")
+                    )
+                    for _ in range(5)
+                ]
+                booking = asyncio.create_task(
+                    book_seat(session, address, CALLER_KEY, "k", 1)
+                )
+                await asyncio.sleep(0.5)
+                system.send_signal("entry-3", signal.SIGTERM)
+                await asyncio.sleep(0.3)
+                kept = await stream_chat(session, address, CALLER_KEY, "[[length=5]]")
+                answers = await asyncio.gather(*streams)
+                addresses = await fetch_addresses(session, entry(system), "tutor-model")
+                assert all(a.text == expected_text(120) for a in answers)
+                assert (await booking).status == 201
+                assert kept.is_whole
+                assert address not in addresses
+
+        asyncio.run(scenario())
+        exited = asyncio.run(system.wait_for_exit("entry-3", PATIENCE_SECONDS))
+        assert exited == 0
+
+    def test_leaving_engine_gets_no_new_work(self, start_system: Start) -> None:
+        system = start_system(SystemShape(engines=2))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                listed = system.list_targets()
+                listed[0]["state"] = "leaving"
+                document = {"instances": listed}
+                await send(session, system.platform_port, "/instances", document)
+                await asyncio.sleep(2.0)
+                leaving = system.engine_ports[0]
+                before = await fetch(session, leaving, "/seen")
+                answers = await asyncio.gather(
+                    *(
+                        stream_chat(
+                            session, entry(system, i % 3), CALLER_KEY, "[[length=2]]"
+                        )
+                        for i in range(12)
+                    )
+                )
+                assert all(answer.is_whole for answer in answers)
+                assert await fetch(session, leaving, "/seen") == before
+
+        asyncio.run(scenario())
+
+
+class TestBadCallers:
+    CASES: ClassVar[list[tuple[str, dict[str, str] | None, bytes, int, str | None]]] = [
+        ("no key", {}, b"{}", 401, "missing_key"),
+        ("unknown key", {"Authorization": "Bearer x"}, b"{}", 401, "wrong_key"),
+        ("malformed body", None, b"{", 400, "invalid_request"),
+        ("no prompt", None, b'{"model":"tutor-model"}', 400, "invalid_request"),
+        ("unknown service", None, b'{"model":"x","prompt":"a"}', 404, None),
+        ("oversized body", None, b"x" * (5 * 1024 * 1024), 413, "body_too_large"),
+    ]
+
+    def test_each_gets_a_clear_answer(self, start_system: Start) -> None:
+        system = start_system(SystemShape(daemons=1))
+        good = {"Authorization": f"Bearer {CALLER_KEY}"}
+
+        async def scenario() -> None:
+            url = f"http://{entry(system)}/v1/completions"
+            async with aiohttp.ClientSession() as session:
+                for name, headers, body, status, code in self.CASES:
+                    data = body
+                    if name in ("no key", "unknown key"):
+                        data = b'{"model":"tutor-model","prompt":"a"}'
+                    async with session.post(
+                        url, data=data, headers=good if headers is None else headers
+                    ) as response:
+                        document = await response.json()
+                        assert response.status == status, name
+                        assert document["error"]["execution"] == "not_run"
+                        assert code in (None, document["error"]["code"])
+
+        asyncio.run(scenario())
+
+    def test_account_over_its_limit_does_not_harm_others(
+        self, start_system: Start
+    ) -> None:
+        system = start_system(SystemShape(daemons=1, engine_step=0.05))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                prompt = "[[length=40]]"
+                small = [
+                    asyncio.create_task(
+                        stream_chat(session, entry(system), SMALL_CALLER_KEY, prompt)
+                    )
+                    for _ in range(6)
+                ]
+                other = await stream_chat(session, entry(system), CALLER_KEY, prompt)
+                answers = await asyncio.gather(*small)
+                assert other.is_whole
+                assert sum(answer.is_whole for answer in answers) == 2
+                refused = [a for a in answers if not a.is_whole]
+                assert {a.error["code"] for a in refused} == {"account_limit"}
+
+        asyncio.run(scenario())
+
+
+def replicas(system: LocalSystem) -> list[str]:
+    document = json.loads(system.operate("status", "--json").stdout or "{}")
+    listed: list[str] = document.get("replicas", [])
+    return listed
+
+
+def wait_for_voters(system: LocalSystem, count: int) -> None:
+    for _ in range(200):
+        if len(replicas(system)) == count:
+            return
+    raise AssertionError(f"not {count} voters: {replicas(system)}")
+
+
+def apply_until_accepted(system: LocalSystem, version: int) -> int:
+    """Apply a bundle; while no instance leads, try again."""
+    for _ in range(100):
+        applied = system.apply_bundle(build_bundle(version))
+        if applied.returncode != 3:
+            return applied.returncode
+    return 3
+
+
+def status_of(system: LocalSystem, name: str) -> dict[str, Any]:
+    finished = system.run_binary(
+        "heathertack",
+        "status",
+        "--json",
+        f"--server={HOST}:{system.http_ports[name]}",
+        f"--operator={system.operator.name}",
+        f"--key={system.key_file}",
+    )
+    document: dict[str, Any] = json.loads(finished.stdout or "{}")
+    return document
+
+
+def find_leader_at(system: LocalSystem, names: list[str]) -> str:
+    for _ in range(100):
+        for name in names:
+            status = status_of(system, name)
+            if status.get("lease_is_valid") and status["leader"] in names:
+                leader: str = status["leader"]
+                return leader
+    raise AssertionError("no leader")
+
+
+def operate_at(system: LocalSystem, name: str, version: int) -> int:
+    """Apply a bundle through a given instance."""
+    path = system.folder / f"bundle-{version}.signed.json"
+    plain = system.folder / f"bundle-{version}.jsonc"
+    plain.write_text(json.dumps(build_bundle(version)))
+    operator = (f"--operator={system.operator.name}", f"--key={system.key_file}")
+    system.run_binary(
+        "heathertack", "bundle", "sign", str(plain), *operator, f"--output={path}"
+    )
+    server = f"--server={HOST}:{system.http_ports[name]}"
+    finished = system.run_binary(
+        "heathertack", "bundle", "apply", str(path), server, *operator
+    )
+    return finished.returncode
+
+
+def bundle_version(system: LocalSystem, name: str) -> int:
+    version: int = status_of(system, name)["bundle_version"]
+    return version
