Load weights one engine at a time, under fencing numbers

The leader holds an engine back from new work, waits until it is idle, orders the load and gives it work again; the last engine in use is never taken. A process test rolls three engines to a new version under a stream that goes on: no cut, store refused 0, old number answered 409.

While adding it: the list of targets was merged with notices by comparing states, which would have freed a leaving target with its hold. Listed state, notices and holds are now kept apart.

--- a/packages/heathertack-fakes/src/heathertack_fakes/_engine_server.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_engine_server.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -67,9 +68,22 @@
         Bounds of the engine.
     speed : EngineSpeed
         Costs of its steps.
+    store_url : str
+        Address of the weight store, empty for weights that load at once.
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
     """
 
-    def __init__(self, size: EngineSize, speed: EngineSpeed) -> None:
+    def __init__(
+        self,
+        size: EngineSize,
+        speed: EngineSpeed,
+        store_url: str = "",
+        checks_fencing: bool = True,
+    ) -> None:
+        self._store_url = store_url
+        self._checks_fencing = checks_fencing
+        self._loads: set[asyncio.Task[None]] = set()
         self._model = EngineModel(size, speed)
         self._generations: dict[str, _Generation] = {}
         self._faults = EngineFaults()
@@ -77,7 +91,8 @@
         self._cache_events: list[tuple[int, tuple[int, ...], tuple[int, ...]]] = []
         self._orders: list[dict[str, Any]] = []
         self._fencing_number = 0
-        self._checks_fencing = True
+        self._weights = {"model": "tutor", "version": "1", "adapters": []}
+        self._is_loading = False
         self._cancelled: list[str] = []
 
     def build_app(self) -> web.Application:
@@ -117,6 +132,8 @@
                 self._cache_events.append((number, change.stored, change.evicted))
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
+        if self._is_loading:
+            return web.json_response({"error": "loading weights"}, status=503)
         body = msgspec.json.decode(await request.read())
         prompt = _prompt_of(body)
         length = _LENGTH_MARK.search(prompt)
@@ -194,6 +211,8 @@
                 "cache_capacity": self._model.cache_capacity,
                 "preemptions": self._model.preemptions,
                 "fencing_number": self._fencing_number,
+                "is_loading": self._is_loading,
+                **self._weights,
             }
         )
 
@@ -204,19 +223,41 @@
 
     async def _take_order(self, request: web.Request) -> web.Response:
         order = await request.json()
-        if self._checks_fencing and order["fencing_number"] < self._fencing_number:
+        is_old = order["fencing_number"] < self._fencing_number
+        if self._checks_fencing and is_old:
             return web.json_response({"error": "old fencing number"}, status=409)
         self._fencing_number = max(self._fencing_number, order["fencing_number"])
         self._orders.append(order)
+        task = asyncio.create_task(self._load_weights(order))
+        self._loads.add(task)
+        task.add_done_callback(self._loads.discard)
         return web.json_response({"accepted": True})
 
+    async def _load_weights(self, order: dict[str, Any]) -> None:
+        """Fetch the weights; a store over its rate says when to come back."""
+        self._is_loading = True
+        async with aiohttp.ClientSession() as session:
+            while self._store_url:
+                url = f"{self._store_url}/{order['model']}/{order['version']}"
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        break
+                    await asyncio.sleep(float(response.headers["Retry-After"]))
+        names = ("model", "version", "adapters")
+        self._weights = {name: order[name] for name in names}
+        self._is_loading = False
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         self._faults = EngineFaults(**await request.json())
         return web.json_response({"done": True})
 
     async def _give_seen(self, request: web.Request) -> web.Response:
         del request
-        seen = {"generations": list(self._generations), "cancelled": self._cancelled}
+        seen = {
+            "generations": list(self._generations),
+            "cancelled": self._cancelled,
+            "orders": self._orders,
+        }
         return web.json_response(seen)
 
 
--- a/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -113,13 +113,14 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self.names = [f"entry-{number + 1}" for number in range(shape.daemons)]
         ports = iter(
-            find_free_ports(2 * shape.daemons + shape.engines + shape.plain + 1)
+            find_free_ports(2 * shape.daemons + shape.engines + shape.plain + 2)
         )
         self.http_ports = {name: next(ports) for name in self.names}
         self._peer_ports = {name: next(ports) for name in self.names}
         self.engine_ports = [next(ports) for _ in range(shape.engines)]
         self.plain_ports = [next(ports) for _ in range(shape.plain)]
         self.platform_port = next(ports)
+        self.store_port = next(ports)
         self.operator: OperatorKeys = make_operator_keys("asha")
 
     @property
@@ -180,6 +181,7 @@
         """
         self.write_files()
         self.start_fake("platform", self.platform_port, "platform.json")
+        self.start_fake("store", self.store_port)
         for number, port in enumerate(self.engine_ports):
             self.start_engine(number, port)
         for number, port in enumerate(self.plain_ports):
@@ -195,6 +197,7 @@
         options = [
             f"--cache={self._shape.engine_cache}",
             f"--step={self._shape.engine_step}",
+            f"--store=http://{HOST}:{self.store_port}/weights",
         ]
         self.start_fake("engine", port, *options, name=f"engine-{number + 1}")
 
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
@@ -1,7 +1,7 @@
 """Measures the admission policies and prints tables.
 
 Usage:
-  python -m heathertack_fakes.measure [--seeds=N] [--processes=N] [--quick]
+  measure [options]
 
 Options:
   --seeds=N      runs of each combination [default: 5]
--- a/packages/heathertack-fakes/src/heathertack_fakes/serve.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/serve.py
@@ -1,7 +1,8 @@
 """Runs one stand-in as a process.
 
 Usage:
-  serve engine PORT [--cache=TOKENS] [--step=SECONDS]
+  serve engine PORT [--cache=TOKENS] [--step=SECONDS] [--store=URL] [--unfenced]
+  serve store PORT
   serve plain PORT
   serve platform PORT FILE
 """
@@ -20,8 +21,10 @@
 from heathertack_fakes._engine_server import EngineServer
 from heathertack_fakes._plain_server import PlainServer
 from heathertack_fakes._platform_server import PlatformServer
+from heathertack_fakes._store_server import StoreServer
 
 _HOST = "127.0.0.1"
+_LOAD_SECONDS = 0.5
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -34,7 +37,12 @@
             size = size._replace(cache_tokens=int(options["--cache"]))
         if options["--step"]:
             speed = speed._replace(step=float(options["--step"]))
-        app = EngineServer(size, speed).build_app()
+        store_url = options["--store"] or ""
+        checks_fencing = not options["--unfenced"]
+        server = EngineServer(size, speed, store_url, checks_fencing)
+        app = server.build_app()
+    elif options["store"]:
+        app = StoreServer(_LOAD_SECONDS).build_app()
     elif options["plain"]:
         app = PlainServer().build_app()
     else:
--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -41,6 +41,8 @@
     term: int = 0
     #: Leader lease, monotonic clock, seconds.
     lease_until: float = float("-inf")
+    #: Number of this leadership for orders to targets.
+    fencing_number: int = 0
     #: Index of the latest accepted bundle.
     bundle_index: int = 0
     #: Requests that lost targets, with the number lost.
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -225,6 +225,7 @@
             is_leader=replica.has_lease(now),
             term=replica.term,
             lease_until=replica.lease_expiry(now),
+            fencing_number=replica.fencing_number,
             bundle_index=bundle.log_index if bundle is not None else 0,
             suspects=tuple(
                 (record.fingerprint, len(record.losses))
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -53,7 +53,27 @@
     target: str
 
 
-Event = LeaseRequested | BundleCommitted | PlatformListed | LeavingReported | TimePassed
+class TargetHeld(NamedTuple):
+    """A target is to get no new work for a while."""
+
+    target: str
+
+
+class TargetFreed(NamedTuple):
+    """A target that was held may get work again."""
+
+    target: str
+
+
+Event = (
+    LeaseRequested
+    | BundleCommitted
+    | PlatformListed
+    | LeavingReported
+    | TargetHeld
+    | TargetFreed
+    | TimePassed
+)
 Action = SendToPeer | ProposeCommand | ConfirmBundleInForce
 
 
@@ -94,6 +114,9 @@
         self._members: VersionedTable[MemberRecord] = VersionedTable(self._count)
         self._targets: VersionedTable[TargetRecord] = VersionedTable(self._count)
         self._holders: dict[str, _Holder] = {}
+        self._held: frozenset[str] = frozenset()
+        self._reported_leaving: frozenset[str] = frozenset()
+        self._listed: dict[str, TargetRecord] = {}
         self._confirmed_index = 0
         self._committed_at = 0.0
         board.register(self)
@@ -133,7 +156,14 @@
             case PlatformListed():
                 return self._store_platform(event.targets, control, now)
             case LeavingReported():
-                return self._store_leaving(event.target, control, now)
+                self._reported_leaving |= {event.target}
+                return self._push_target(event.target, control, now)
+            case TargetHeld():
+                self._held |= {event.target}
+                return self._push_target(event.target, control, now)
+            case TargetFreed():
+                self._held -= {event.target}
+                return self._push_target(event.target, control, now)
             case TimePassed():
                 return self._expire_members(now) + self._confirm_bundle(now)
             case _:
@@ -158,6 +188,9 @@
         self._members.clear()
         self._targets.clear()
         self._holders.clear()
+        self._held = frozenset()
+        self._reported_leaving = frozenset()
+        self._listed = {}
 
     def _grant(
         self, request: LeaseRequest, control: ControlView, now: float
@@ -210,12 +243,11 @@
         self, listed: tuple[TargetRecord, ...], control: ControlView, now: float
     ) -> tuple[Action, ...]:
         names = {target.name for target in listed}
+        self._reported_leaving &= names
+        self._listed = {target.name: target for target in listed}
         changed = False
-        for target in listed:
-            known = self._targets.find(target.name)
-            if _is_known_leaving(known, target):
-                continue
-            changed |= self._targets.put(target.name, target)
+        for name in names:
+            changed |= self._put_target(name)
         for name in tuple(self._targets):
             known = self._targets.find(name)
             if name not in names and known is not None:
@@ -223,14 +255,23 @@
                 changed |= self._targets.put(name, gone)
         return self._push_everywhere(control, now) if changed else ()
 
-    def _store_leaving(
+    def _put_target(self, name: str) -> bool:
+        """Set the state of a listed target, and tell whether that changed it.
+
+        The list may lag behind a notice that the target is leaving.
+        """
+        target = self._listed.get(name)
+        if target is None:
+            return False
+        if name in self._held or name in self._reported_leaving:
+            target = target._replace(state=TargetState.LEAVING)
+        return self._targets.put(name, target)
+
+    def _push_target(
         self, target: str, control: ControlView, now: float
     ) -> tuple[Action, ...]:
-        known = self._targets.find(target)
-        if known is None or known.state is not TargetState.LIVE:
-            return ()
-        self._targets.put(target, known._replace(state=TargetState.LEAVING))
-        return self._push_everywhere(control, now)
+        changed = self._put_target(target)
+        return self._push_everywhere(control, now) if changed else ()
 
     def _expire_members(self, now: float) -> tuple[Action, ...]:
         limit = now - self._timings.member_timeout
@@ -274,10 +315,3 @@
         bundle_index=request.bundle_index,
         load=request.load,
     )
-
-
-def _is_known_leaving(known: TargetRecord | None, listed: TargetRecord) -> bool:
-    """Tell whether the list lags behind a notice that the target is leaving."""
-    if known is None or known.address != listed.address:
-        return False
-    return known.state is TargetState.LEAVING and listed.state is TargetState.LIVE
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -36,6 +36,7 @@
 from heathertackd._instance import Instance
 from heathertackd._logs import Logger
 from heathertackd._operator_api import OperatorApi
+from heathertackd._order_runner import OrderRunner
 from heathertackd._peers import PeerNetworkError
 from heathertackd._watchers import LoadWatcher, PlatformWatcher
 
@@ -148,6 +149,8 @@
                 await self._start(instance, runner)
                 self._watch(PlatformWatcher(instance, session).run())
                 self._watch(LoadWatcher(instance, engines).run())
+                if control_log is not None:
+                    self._watch(OrderRunner(instance, engines).run())
                 if runner.server is not None:
                     self._watch(guard.run(runner.server))
                 self._listen_to_signals()
--- a/packages/heathertackd/src/heathertackd/_engine_client.py
+++ b/packages/heathertackd/src/heathertackd/_engine_client.py
@@ -59,6 +59,7 @@
     version: str
     adapters: tuple[str, ...]
     fencing_number: int
+    is_loading: bool
 
 
 _EVENT_DECODER = msgspec.json.Decoder(_WireEvent)
@@ -140,6 +141,7 @@
             document.get("version", ""),
             tuple(document.get("adapters", ())),
             document.get("fencing_number", 0),
+            document.get("is_loading", False),
         )
 
     async def fetch_cache_events(
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -376,6 +376,40 @@
         asyncio.run(scenario())
 
 
+class TestWeights:
+    def test_new_version_is_loaded_without_an_outage(self, start_system: Start) -> None:
+        system = start_system(SystemShape(engines=3))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                bundle = build_bundle(2)
+                bundle["services"]["tutor-model"]["model_version"] = "2"
+                applied = await asyncio.to_thread(system.apply_bundle, bundle)
+                assert applied.returncode == 0
+                versions: list[str] = []
+                while set(versions) != {"2"}:
+                    prompt = "[[length=20]]"
+                    answer = await stream_chat(
+                        session, entry(system), CALLER_KEY, prompt
+                    )
+                    assert answer.text == expected_text(20)
+                    assert answer.is_whole
+                    loads = [
+                        await fetch(session, port, "/load")
+                        for port in system.engine_ports
+                    ]
+                    assert sum(load["is_loading"] for load in loads) <= 1
+                    versions = [load["version"] for load in loads]
+                refused = await fetch(session, system.store_port, "/refused")
+                assert refused == {"refused": 0}
+                old = {"fencing_number": 0, "model": "x", "version": "0"}
+                url = f"http://{HOST}:{system.engine_ports[0]}/orders"
+                async with session.post(url, json=old) as response:
+                    assert response.status == 409
+
+        asyncio.run(scenario())
+
+
 class TestBadCallers:
     CASES: ClassVar[list[tuple[str, dict[str, str] | None, bytes, int, str | None]]] = [
         ("no key", {}, b"{}", 401, "missing_key"),
