--- a/packages/heathertack-fakes/src/heathertack_fakes/_engine_server.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_engine_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import time
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
@@ -23,6 +24,7 @@
 
 _LENGTH_MARK = re.compile(r"\[\[length=(\d+)\]\]")
 _CRASH_MARK = re.compile(r"\[\[crash(?:=(\d+))?\]\]")
+_TIMED_MARK = "[[timed]]"
 _DEFAULT_LENGTH = 24
 _IDLE_SECONDS = 0.005
 _CHARACTERS_PER_TOKEN = 4
@@ -42,7 +44,8 @@
 class _Generation:
     """Tokens of one generation, kept for resuming."""
 
-    def __init__(self, crash_at: int | None) -> None:
+    def __init__(self, crash_at: int | None, is_timed: bool) -> None:
+        self.is_timed = is_timed
         self.tokens: list[str] = []
         self.is_ended = False
         self.crash_at = crash_at
@@ -50,7 +53,8 @@
 
     def add(self, token: TokenMade) -> None:
         """Store a token and wake the streams."""
-        self.tokens.append(f"t{token.offset} ")
+        timed = f"@{time.monotonic():.6f}"
+        self.tokens.append(timed if self.is_timed else f"t{token.offset} ")
         self.is_ended = token.is_last
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
@@ -60,7 +64,8 @@
     """One engine that makes as many tokens as a mark in the prompt says.
 
     ``[[length=N]]`` in a prompt sets the length of the answer, and
-    ``[[crash=N]]`` ends the process at the Nth token.
+    ``[[crash=N]]`` ends the process at the Nth token. ``[[timed]]`` makes each
+    token tell the time at which it was made.
 
     Parameters
     ----------
@@ -141,7 +146,7 @@
         wanted = int(length.group(1)) if length else _DEFAULT_LENGTH
         generation_id = body["id"]
         crash_at = int(crash.group(1) or 0) if crash else None
-        self._generations[generation_id] = _Generation(crash_at)
+        self._generations[generation_id] = _Generation(crash_at, _TIMED_MARK in prompt)
         self._model.submit(
             EngineRequest(
                 generation_id,
--- a/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -16,6 +16,7 @@
 import aiohttp
 import zmq
 
+from heathertack.settings import LimitSettings
 from heathertack_fakes._keys import OperatorKeys, make_operator_keys, sha256_hex
 
 HOST = "127.0.0.1"
@@ -38,6 +39,8 @@
     engine_step: float = 0.01
     #: How long callers may keep an answer about addresses, seconds.
     address_ttl: float = 0.5
+    #: Limits of the daemons that differ from the defaults.
+    limits: LimitSettings = LimitSettings()
 
 
 class StartFailedError(Exception):
@@ -139,6 +142,10 @@
         items = self._processes.items()
         return tuple(name for name, process in items if process.poll() is None)
 
+    def pid(self, name: str) -> int:
+        """Return the process number of a process."""
+        return self._processes[name].pid
+
     def write_files(self) -> None:
         """Write settings, keys and the platform's list."""
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -308,6 +315,7 @@
             "operator_keys": {self.operator.name: self.operator.public_key},
             "platform_url": f"http://{HOST}:{self.platform_port}/instances",
             "address_ttl": self._shape.address_ttl,
+            "limits": self._shape.limits,
             "peers": [
                 {
                     "instance": peer,
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the daemon's own speed, memory and control cost."""
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any, NamedTuple, assert_never
 
 import aiohttp
@@ -59,6 +60,7 @@
 _QUEUED_CHUNKS = 16
 _LOSS_REPORT_SECONDS = 2.0
 _MADE_REPORT_EVENTS = 16
+_SEND_BUFFER_BYTES = 64 * 1024
 
 
 class GenerationOrder(NamedTuple):
@@ -335,6 +337,7 @@
                 }
             )
             self._response = response
+            _bound_send_buffer(self._http_request)
             await response.prepare(self._http_request)
         return self._response
 
@@ -426,6 +429,13 @@
         task.add_done_callback(self._background.discard)
 
 
+def _bound_send_buffer(request: web.Request) -> None:
+    """Bound what the kernel holds for a caller that reads slowly."""
+    if request.transport is not None:
+        sock = request.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+
+
 def _translate(link: int, event: EngineEvent) -> GenerationEvent:
     if event.finish_reason:
         return EndArrived(link, event.generation_id, event.offset, event.finish_reason)
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -4,11 +4,13 @@
 import json
 import shutil
 import signal
+import socket
 from typing import Any, ClassVar
 
 import aiohttp
 import pytest
 
+from heathertack.settings import LimitSettings
 from heathertack_fakes._caller import book_seat, fetch_addresses, stream_chat
 from heathertack_fakes._local_system import (
     CALLER_KEY,
@@ -441,6 +443,79 @@
 
         asyncio.run(scenario())
 
+    @pytest.mark.parametrize(
+        "sent",
+        [b"", b"POST /v1/completions HTTP/1.1\r\nX-A: ", b"x" * 100_000],
+        ids=["nothing", "half a header", "no header at all"],
+    )
+    def test_connection_without_a_request_is_closed(
+        self, start_system: Start, sent: bytes
+    ) -> None:
+        limits = LimitSettings(request_read_timeout=1.0)
+        system = start_system(SystemShape(daemons=1, limits=limits))
+
+        async def scenario() -> None:
+            port = system.http_ports["entry-1"]
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(sent)
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                while await reader.read(65536):
+                    pass
+            async with aiohttp.ClientSession() as session:
+                answer = await stream_chat(
+                    session, entry(system), CALLER_KEY, "[[length=3]]"
+                )
+                assert answer.is_whole
+
+        asyncio.run(scenario())
+
+    def test_endless_header_is_refused(self, start_system: Start) -> None:
+        system = start_system(SystemShape(daemons=1))
+
+        async def scenario() -> None:
+            port = system.http_ports["entry-1"]
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(b"GET /healthz HTTP/1.1\r\nX-A: " + b"a" * 200_000)
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                answer = await reader.read(1024)
+            assert b" 400 " in answer
+
+        asyncio.run(scenario())
+
+    def test_slow_reader_is_bounded_and_dropped(self, start_system: Start) -> None:
+        limits = LimitSettings(caller_write_timeout=1.0)
+        shape = SystemShape(daemons=1, engine_step=0.0, limits=limits)
+        system = start_system(shape)
+
+        async def scenario() -> None:
+            port = system.http_ports["entry-1"]
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.connect((HOST, port))
+            _, writer = await asyncio.open_connection(sock=slow, limit=1024)
+            prompt = "[[length=4000]]" + "x" * 10
+            body = json.dumps(
+                {"model": "tutor-model", "prompt": prompt, "stream": True}
+            )
+            writer.write(
+                f"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Authorization: Bearer {CALLER_KEY}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+            async with aiohttp.ClientSession() as session:
+                for _ in range(int(PATIENCE_SECONDS / 0.2)):
+                    seen = await fetch(session, system.engine_ports[0], "/seen")
+                    if seen["cancelled"]:
+                        break
+                    await asyncio.sleep(0.2)
+                answer = await stream_chat(
+                    session, entry(system), CALLER_KEY, "[[length=3]]"
+                )
+                assert seen["cancelled"]
+                assert answer.is_whole
+
+        asyncio.run(scenario())
+
     def test_account_over_its_limit_does_not_harm_others(
         self, start_system: Start
     ) -> None:
