--- /dev/null
+++ b/packages/heathertack-cli/src/heathertack_cli/tests/test_main.py
@@ -0,0 +1,97 @@
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from heathertack.bundle import SignedBundle, verify_bundle
+from heathertack_cli import main
+
+BUNDLE: dict[str, Any] = {
+    "version": 1,
+    "services": {"tutor": {"kind": "generation", "model": "m"}},
+    "classes": {"note": 1},
+    "accounts": {},
+}
+OPERATOR = ["--operator=asha", "--key=/none"]
+
+
+@pytest.fixture
+def bundle_file(tmp_path: Path) -> Path:
+    path = tmp_path / "bundle.jsonc"
+    path.write_text("// A bundle.\n" + json.dumps(BUNDLE))
+    return path
+
+
+class TestLocalCommands:
+    def test_signs_what_it_checked(
+        self, bundle_file: Path, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["keys", "new", "operator", "--json"]) == 0
+        keys = json.loads(capsys.readouterr().out)
+        key_file = tmp_path / "key"
+        key_file.write_text(keys["secret_key"] + "\n")
+        output = tmp_path / "signed.json"
+        arguments = [
+            "bundle",
+            "sign",
+            str(bundle_file),
+            "--operator=asha",
+            f"--key={key_file}",
+            f"--output={output}",
+        ]
+        assert main(arguments) == 0
+        signed = SignedBundle(**json.loads(output.read_text()))
+        assert verify_bundle(signed, {"asha": keys["public_key"]})
+
+    def test_diff_names_paths(
+        self, bundle_file: Path, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        other = tmp_path / "other.json"
+        other.write_text(json.dumps({**BUNDLE, "version": 2}))
+        assert main(["bundle", "diff", str(bundle_file), str(other)]) == 0
+        assert capsys.readouterr().out == "$.version: 1 -> 2\n"
+
+    @pytest.mark.parametrize("kind", ["operator", "instance", "caller"])
+    def test_makes_keys(self, kind: str, capsys: pytest.CaptureFixture[str]) -> None:
+        assert main(["keys", "new", kind]) == 0
+        assert len(capsys.readouterr().out.splitlines()) == 2
+
+    @pytest.mark.parametrize(
+        ("arguments", "code", "message"),
+        [
+            (["bundle", "check", "/none"], 2, "/none: $: "),
+            (["settings", "check", "/none"], 2, "/none: $: "),
+            (["bundle", "sign", "/none"], 2, "--operator, --key, --output"),
+            (["status"], 2, "--operator and --key"),
+            (["status", *OPERATOR], 2, "/none: $: "),
+        ],
+    )
+    def test_says_what_is_wrong(
+        self,
+        arguments: list[str],
+        code: int,
+        message: str,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        assert main(arguments) == code
+        assert message in capsys.readouterr().err
+
+    def test_silent_server_is_told_apart(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        main(["keys", "new", "operator", "--json"])
+        key_file = tmp_path / "key"
+        key_file.write_text(json.loads(capsys.readouterr().out)["secret_key"])
+        arguments = ["status", "--operator=asha", f"--key={key_file}"]
+        server = ["--server=127.0.0.1:1", "--timeout=0.1"]
+        assert main([*arguments, *server]) == 3
+        assert "no answer" in capsys.readouterr().err
+
+    @pytest.mark.parametrize("name", ["kalamu", "kunjal"])
+    def test_examples_are_valid(self, name: str) -> None:
+        examples = Path(__file__).parents[5] / "examples"
+        settings = str(examples / f"{name}-entry.jsonc")
+        bundle = str(examples / f"{name}-bundle.jsonc")
+        assert main(["settings", "check", settings]) == 0
+        assert main(["bundle", "check", bundle]) == 0
