Apply many changes of a bundle in one pass

Cause: a sampling profile of the leader while 12,000 accounts were added showed 575 of 1,162 samples in applying the changes: each of 12,000 changes copied the map of all accounts. Changes are now merged level by level, each map copied once.

--- a/packages/heathertack/src/heathertack/bundle/_difference.py
+++ b/packages/heathertack/src/heathertack/bundle/_difference.py
@@ -30,10 +30,8 @@
 
 def apply_changes(bundle: Bundle, changes: tuple[BundleChange, ...]) -> Bundle:
     """Return a copy of a bundle with changes applied."""
-    changed: Any = bundle
-    for change in changes:
-        changed = _set_value(changed, change.path, change.after)
-    return msgspec.convert(changed, Bundle)
+    values = tuple((change.path, change.after) for change in changes)
+    return msgspec.convert(_merge(bundle, values), Bundle)
 
 
 def digest_content(bundle: Bundle) -> str:
@@ -84,14 +82,21 @@
         yield BundleChange(path, before, after)
 
 
-def _set_value(node: Any, path: tuple[str, ...], value: Any) -> Any:
-    """Return a copy of nested maps with one value set, or removed for ``None``."""
-    if not path:
-        return value
+def _merge(node: Any, values: tuple[tuple[tuple[str, ...], Any], ...]) -> Any:
+    """Return a copy of nested maps with values set, or removed for ``None``.
+
+    Each map is copied once, however many of its values change.
+    """
+    if values and not values[0][0]:
+        return values[0][1]
+    by_key: dict[str, list[tuple[tuple[str, ...], Any]]] = {}
+    for path, value in values:
+        by_key.setdefault(path[0], []).append((path[1:], value))
     copy = dict(node)
-    child = _set_value(copy.get(path[0], {}), path[1:], value)
-    if child is None:
-        copy.pop(path[0], None)
-    else:
-        copy[path[0]] = child
+    for key, inner in by_key.items():
+        merged = _merge(copy.get(key, {}), tuple(inner))
+        if merged is None:
+            copy.pop(key, None)
+        else:
+            copy[key] = merged
     return copy
