Cheaper relay, bounded log memory, cheaper admission

Relay, cause: a profile showed 15 % of the busy time in two timeouts for each token. The deadline of a stream is now a timer that is set again only when it rings, and a write to an idle connection has no timeout.

Log: a bundle with 12,000 accounts is an entry of 1.9 MB, and 5,000 of them would have been kept in memory.

Admission (16 engines, 40 generations each): a request cost 1,055 us, mostly projected peaks of all engines and predictions at every progress item.

--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
@@ -20,7 +20,7 @@
 from heathertack.policy import AdmissionTuning
 from heathertack_fakes.measure._experiments import (
     Experiment,
-    capacity_rate,
+    measure_capacity,
     run_all,
 )
 from heathertack_fakes.measure._routers import ROUTERS
@@ -201,7 +201,9 @@
     seeds = int(options["--seeds"])
     processes = int(options["--processes"])
     for workload in WORKLOADS:
-        print(f"{workload}: 100% is {capacity_rate(workload):.2f} requests/s")
+        capacity = WORKLOADS[workload].capacity
+        measured = measure_capacity(workload)
+        print(f"{workload}: 100% is {capacity} requests/s, measured {measured:.2f}")
     print(f"\n{seeds} seeds from 0; medians, ranges in brackets\n")
     medians = measure(_policy_rows(options["--quick"]), seeds, processes)
     _judge(medians)
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_experiments.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_experiments.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from concurrent.futures import ProcessPoolExecutor
-from functools import cache
 from typing import NamedTuple
 
 from heathertack.policy import AdmissionTuning
@@ -49,7 +48,7 @@
 def run_experiment(experiment: Experiment) -> RunFigures:
     """Run one experiment and return its figures."""
     workload = WORKLOADS[experiment.workload]
-    rate = experiment.load * capacity_rate(experiment.workload)
+    rate = experiment.load * workload.capacity
     arrivals = draw_arrivals(
         workload, rate, UNTIL_SECONDS, experiment.entries, experiment.seed
     )
@@ -69,9 +68,8 @@
         return list(executor.map(run_experiment, experiments, chunksize=1))
 
 
-@cache
-def capacity_rate(name: str) -> float:
-    """Return the requests per second that fill the engines.
+def measure_capacity(name: str) -> float:
+    """Measure the requests per second that fill the engines.
 
     It is the rate of tokens that saturated engines make under the clairvoyant
     policy without priorities, divided by the mean length of an answer.
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_workloads.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_workloads.py
@@ -31,6 +31,8 @@
     classes: tuple[RequestClass, ...]
     #: Parts of the requests that the client accounts make.
     accounts: tuple[float, ...]
+    #: Requests per second that fill 5 engines of 30,000 cached tokens.
+    capacity: float
     #: One-way delay between instances, seconds.
     delay: float
     #: Different prompts that share a prefix, for each account.
@@ -46,6 +48,7 @@
         RequestClass("note", 0.55, 2, (200, 500), 80.0, 0.5, 2_000),
     ),
     (0.3, 0.22, 0.16, 0.08, 0.06, 0.05, 0.05, 0.04, 0.02, 0.02),
+    4.2,
     0.0005,
     4,
     256,
@@ -58,6 +61,7 @@
         RequestClass("classification", 0.6, 2, (150, 400), 12.0, 0.4, 200),
     ),
     (0.35, 0.2, 0.15, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02, 0.02),
+    6.0,
     0.0015,
     6,
     128,
--- a/packages/heathertack/src/heathertack/consensus/_log.py
+++ b/packages/heathertack/src/heathertack/consensus/_log.py
@@ -26,6 +26,7 @@
         self._snapshot_index = snapshot_index
         self._snapshot_term = snapshot_term
         self._entries = list(entries)
+        self._size = sum(len(entry.payload) for entry in self._entries)
 
     @property
     def snapshot_index(self) -> int:
@@ -37,6 +38,11 @@
         """Index of the last entry."""
         return self._snapshot_index + len(self._entries)
 
+    @property
+    def size(self) -> int:
+        """Bytes of all payloads."""
+        return self._size
+
     @property
     def last_term(self) -> int:
         """Term of the last entry."""
@@ -57,11 +63,14 @@
 
     def append(self, entries: Iterable[LogEntry]) -> None:
         """Add entries at the end."""
-        self._entries.extend(entries)
+        added = tuple(entries)
+        self._entries.extend(added)
+        self._size += sum(len(entry.payload) for entry in added)
 
     def truncate(self, first_index: int) -> None:
         """Remove the entries from an index on."""
         del self._entries[first_index - self._snapshot_index - 1 :]
+        self._size = sum(len(entry.payload) for entry in self._entries)
 
     def compact(self, index: int, term: int) -> None:
         """Forget the entries up to an index that a snapshot covers."""
@@ -71,3 +80,4 @@
             self._entries = []
         self._snapshot_index = index
         self._snapshot_term = term
+        self._size = sum(len(entry.payload) for entry in self._entries)
--- a/packages/heathertack/src/heathertack/consensus/_replica.py
+++ b/packages/heathertack/src/heathertack/consensus/_replica.py
@@ -117,6 +117,11 @@
         """Number of entries since the latest snapshot."""
         return self._core.log.last_index - self._core.log.snapshot_index
 
+    @property
+    def log_size(self) -> int:
+        """Bytes of the payloads since the latest snapshot."""
+        return self._core.log.size
+
     @property
     def membership(self) -> Membership:
         """Membership in force."""
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -27,6 +27,7 @@
 
 _LOSSES_TO_QUARANTINE = 2
 _BACKLOG_BEFORE_ESTIMATE_SECONDS = 3.0
+_PREDICTIONS_PER_DOUBLING = 6
 
 Reply = ReservationGrant | ReservationRefusal | ReservationQueued
 
@@ -74,6 +75,9 @@
     target: str
     made: int
     heard_at: float
+    #: Predicted length, and the tokens from which on it is predicted again.
+    predicted_length: int
+    predicted_until: int
 
 
 class AdmissionGroup:
@@ -396,12 +400,28 @@
         if waiting.losses and self._is_running(request.fingerprint):
             return None
         best: tuple[float, str] | None = None
-        for target in self._candidates(request, now):
+        compared = 0
+        for target in self._least_cached_first(request, now):
             score = self._score(request, target)
-            if score is not None and (best is None or (score, target) < best):
+            if score is None:
+                continue
+            if best is None or (score, target) < best:
                 best = (score, target)
+            compared += 1
+            if compared == self._tuning.compared_targets:
+                break
         return best[1] if best is not None else None
 
+    def _least_cached_first(self, request: ReservationRequest, now: float) -> list[str]:
+        """Order targets by what they hold, less what a kept prefix would save."""
+        weight = self._tuning.prefix_weight
+
+        def rank(target: str) -> tuple[float, str]:
+            saved = self._prefixes[target].saved_tokens(request.prefix)
+            return (self._ledgers[target].cached - weight * saved, target)
+
+        return sorted(self._candidates(request, now), key=rank)
+
     def _is_running(self, fingerprint: str) -> bool:
         """Tell whether a copy of a request is running."""
         held_requests = (held.request for held in self._held.values())
@@ -466,12 +486,20 @@
         made: int,
         now: float,
     ) -> None:
-        held = _Held(request, instance, target, made, now)
-        self._held[request.generation_id] = held
+        key = request.generation_id
+        known = self._held.get(key)
+        if known is not None and known.made <= made < known.predicted_until:
+            length = known.predicted_length
+            until = known.predicted_until
+        else:
+            length = made + self._predict(request, made).remaining
+            until = min(made + made // _PREDICTIONS_PER_DOUBLING + 1, length)
+        self._held[key] = _Held(request, instance, target, made, now, length, until)
         ledger = self._ledgers.get(target)
         if ledger is not None:
-            entry = self._predict(request, made)
-            ledger.reserve(request.generation_id, entry, started=made > 0)
+            cached = request.prompt_tokens + made
+            entry = LedgerEntry(cached, max(length - made, 1))
+            ledger.reserve(key, entry, started=made > 0)
 
     def _drop(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -48,6 +48,7 @@
 from heathertack.storage import ReplicaStorage
 
 _ENTRIES_PER_SNAPSHOT = 5000
+_BYTES_PER_SNAPSHOT = 16 * 1024 * 1024
 _EXPIRY_INTERVAL_SECONDS = 60.0
 _CALL_RETENTION_SECONDS = 24 * 3600.0
 _LOSS_RETENTION_SECONDS = 3600.0
@@ -138,6 +139,8 @@
         State machine as of the replica's snapshot.
     control_peers : tuple of str
         Other instances that may replicate the log.
+    snapshot_entries : int
+        Least number of log entries between two snapshots.
     """
 
     READS: ClassVar[tuple[Section[Any], ...]] = ()
@@ -150,7 +153,10 @@
         storage: ReplicaStorage,
         machine: ControlStateMachine,
         control_peers: tuple[str, ...],
+        *,
+        snapshot_entries: int = _ENTRIES_PER_SNAPSHOT,
     ) -> None:
+        self._snapshot_entries = snapshot_entries
         self._board = board
         self._replica = replica
         self._storage = storage
@@ -363,10 +369,18 @@
                 self._answer_failure(
                     pending.request_id, pending.requester, ControlStatus.UNAVAILABLE
                 )
-        if self._replica.log_length >= _ENTRIES_PER_SNAPSHOT:
+        if self._is_snapshot_due():
             data = self._machine.encode_snapshot()
             self._carry_out(self._replica.take_snapshot(self._applied_index, data))
 
+    def _is_snapshot_due(self) -> bool:
+        """Tell whether the log has grown enough to pay for a snapshot."""
+        records = len(self._machine.calls)
+        most_entries = max(self._snapshot_entries, records)
+        replica = self._replica
+        is_long = replica.log_length >= most_entries
+        return is_long or replica.log_size >= _BYTES_PER_SNAPSHOT
+
     def _apply_entry(self, entry: LogEntry) -> bytes:
         if entry.kind != EntryKind.COMMAND:
             return b""
--- a/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
@@ -26,6 +26,7 @@
 from heathertack.storage.tests.memory_disk import MemoryDisk
 
 STEP = 0.05
+_SNAPSHOT_ENTRIES = 12
 
 
 class Flight(NamedTuple):
@@ -65,7 +66,12 @@
         )
         self.board = Blackboard()
         self.log = ControlLogController(
-            self.board, replica, opened.storage, machine, peers
+            self.board,
+            replica,
+            opened.storage,
+            machine,
+            peers,
+            snapshot_entries=_SNAPSHOT_ENTRIES,
         )
 
 
--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -57,6 +57,8 @@
         self.capacity = capacity
         self._entries: dict[str, LedgerEntry] = {}
         self._waiting_prompts: dict[str, int] = {}
+        self._own_tokens = 0
+        self._waiting_tokens = 0
         self._foreign_tokens = 0
 
     @property
@@ -67,12 +69,12 @@
     @property
     def cached(self) -> int:
         """Tokens in the cache, as far as known."""
-        return self._foreign_tokens + sum(e.cached for e in self._entries.values())
+        return self._foreign_tokens + self._own_tokens
 
     @property
     def waiting_prompt_tokens(self) -> int:
         """Prompt tokens of generations that have no first token yet."""
-        return sum(self._waiting_prompts.values())
+        return self._waiting_tokens
 
     @property
     def generation_ids(self) -> tuple[str, ...]:
@@ -81,16 +83,19 @@
 
     def reserve(self, generation_id: str, entry: LedgerEntry, *, started: bool) -> None:
         """Add or update a reservation."""
+        self.release(generation_id)
         self._entries[generation_id] = entry
-        if started:
-            self._waiting_prompts.pop(generation_id, None)
-        else:
+        self._own_tokens += entry.cached
+        if not started:
             self._waiting_prompts[generation_id] = entry.cached
+            self._waiting_tokens += entry.cached
 
     def release(self, generation_id: str) -> None:
         """Remove a reservation."""
-        self._entries.pop(generation_id, None)
-        self._waiting_prompts.pop(generation_id, None)
+        entry = self._entries.pop(generation_id, None)
+        if entry is not None:
+            self._own_tokens -= entry.cached
+        self._waiting_tokens -= self._waiting_prompts.pop(generation_id, 0)
 
     def note_reported_use(self, reported_tokens: int, slack: int) -> None:
         """Account for cache use that no reservation explains.
@@ -102,8 +107,7 @@
         slack : int
             Difference that the lag of reports explains, tokens.
         """
-        own = sum(entry.cached for entry in self._entries.values())
-        self._foreign_tokens = max(0, reported_tokens - own - slack)
+        self._foreign_tokens = max(0, reported_tokens - self._own_tokens - slack)
 
     def peak_with(self, candidate: LedgerEntry) -> int:
         """Return the projected peak if a generation is added."""
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -28,6 +28,8 @@
     look_ahead: int = 8
     #: Age from which nobody may pass a head that does not fit, seconds.
     head_age_limit: float = 6.0
+    #: Targets whose projected peak is computed for one request.
+    compared_targets: int = 4
     #: Weight of saved prompt tokens beside cached tokens in the choice.
     prefix_weight: float = 2.0
     #: Life of a reservation without news, seconds.
--- a/packages/heathertack/src/heathertack/state/_calls.py
+++ b/packages/heathertack/src/heathertack/state/_calls.py
@@ -33,6 +33,9 @@
             (record.account, record.key): record for record in records
         }
 
+    def __len__(self) -> int:
+        return len(self._records)
+
     @property
     def records(self) -> tuple[CallRecord, ...]:
         """All records, in the order of their claims."""
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -61,6 +61,8 @@
 _LOSS_REPORT_SECONDS = 2.0
 _MADE_REPORT_EVENTS = 16
 _SEND_BUFFER_BYTES = 64 * 1024
+#: A write of fewer bytes to an idle connection never waits.
+_UNBLOCKED_BYTES = 32 * 1024
 
 
 class GenerationOrder(NamedTuple):
@@ -114,6 +116,7 @@
         self._events: asyncio.Queue[tuple[GenerationEvent, ...]] = asyncio.Queue(
             _QUEUED_CHUNKS
         )
+        self._timer: asyncio.TimerHandle | None = None
         self._links: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[Any]] = set()
         self._response: web.StreamResponse | None = None
@@ -125,6 +128,7 @@
         self._reported_made = 0
         account = instance.metrics.account_label(reservation.account)
         self._labels = (account, reservation.class_name)
+        self._gap_histogram = instance.metrics.token_gap.labels(*self._labels)
 
     async def run(self) -> web.StreamResponse:
         """Serve the request and return the response that was sent."""
@@ -138,6 +142,8 @@
             raise
         finally:
             self._instance.stop_listening(self._id)
+            if self._timer is not None:
+                self._timer.cancel()
             for task in self._links.values():
                 task.cancel()
             self._note_gaps()
@@ -160,21 +166,40 @@
         self._spawn(self._events.put((event,)))
 
     async def _step(self) -> None:
-        """Wait for events or the next deadline and act on them."""
-        deadline = self._controller.next_deadline()
-        timeout = None
-        if deadline is not None:
-            timeout = max(deadline - _clock.monotonic(), 0.0)
-        try:
-            async with asyncio.timeout(timeout):
-                events = await self._events.get()
-        except TimeoutError:
-            events = (GenerationTimePassed(),)
+        """Wait for events and act on them."""
+        self._arm_timer()
+        events = await self._events.get()
         now = _clock.monotonic()
         for event in events:
             await self._carry_out(self._controller.handle(event, now))
         await self._flush()
 
+    def _arm_timer(self) -> None:
+        """Make sure that the controller is called at its next deadline.
+
+        A deadline that moves back with every token leaves the timer as it is; the
+        timer then finds nothing to do and is set again.
+        """
+        deadline = self._controller.next_deadline()
+        if deadline is None:
+            return
+        if self._timer is not None:
+            if self._timer.when() <= deadline:
+                return
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(deadline, self._ring)
+
+    def _ring(self) -> None:
+        self._timer = None
+        deadline = self._controller.next_deadline()
+        is_due = deadline is not None and deadline <= _clock.monotonic()
+        if is_due and not self._events.full():
+            self._events.put_nowait((GenerationTimePassed(),))
+        elif deadline is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(deadline, self._ring)
+
     async def _leave(self) -> None:
         """Free what the generation holds, because its caller left."""
         actions = self._controller.handle(CallerLeft(), _clock.monotonic())
@@ -302,7 +327,7 @@
         else:
             gap = now - self._last_token_at
             self._longest_gap = max(self._longest_gap, gap)
-            metrics.token_gap.labels(*self._labels).observe(gap)
+            self._gap_histogram.observe(gap)
         self._last_token_at = now
         if self._controller.offset - self._reported_made >= _MADE_REPORT_EVENTS:
             self._report_made(now)
@@ -342,6 +367,11 @@
         return self._response
 
     async def _write(self, response: web.StreamResponse, data: bytes) -> None:
+        transport = self._http_request.transport
+        is_idle = transport is not None and not transport.get_write_buffer_size()
+        if is_idle and len(data) < _UNBLOCKED_BYTES:
+            await response.write(data)
+            return
         async with asyncio.timeout(self._order.write_timeout):
             await response.write(data)
 
