--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -117,6 +117,8 @@
         self._held: frozenset[str] = frozenset()
         self._reported_leaving: frozenset[str] = frozenset()
         self._listed: dict[str, TargetRecord] = {}
+        self._suspects: tuple[tuple[str, int], ...] = ()
+        self._suspects_sequence = 0
         self._confirmed_index = 0
         self._committed_at = 0.0
         board.register(self)
@@ -148,6 +150,7 @@
         if not control.may_lead(now):
             return self._decline(event)
         self._follow_term(control.term, now)
+        self._follow_suspects(control)
         match event:
             case LeaseRequested():
                 return self._grant(event.request, control, now)
@@ -191,6 +194,13 @@
         self._held = frozenset()
         self._reported_leaving = frozenset()
         self._listed = {}
+        self._suspects = ()
+        self._suspects_sequence = self._count()
+
+    def _follow_suspects(self, control: ControlView) -> None:
+        if control.suspects != self._suspects:
+            self._suspects = control.suspects
+            self._suspects_sequence = self._count()
 
     def _grant(
         self, request: LeaseRequest, control: ControlView, now: float
@@ -229,7 +239,7 @@
             is_settled=now >= self._led_since + self._timings.settling,
             members=self._members.changes_since(since),
             targets=self._targets.changes_since(since),
-            suspects=control.suspects,
+            suspects=control.suspects if self._suspects_sequence > since else None,
         )
         return SendToPeer(request.instance, grant)
 
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -211,9 +211,8 @@
         targets.update({record.name: record for record in grant.targets})
         self._board.write(self, MEMBERS, members)
         self._board.write(self, TARGETS, targets)
-        suspects = dict(grant.suspects)
-        if suspects != self._board.read(SUSPECTS):
-            self._board.write(self, SUSPECTS, suspects)
+        if grant.suspects is not None:
+            self._board.write(self, SUSPECTS, dict(grant.suspects))
         if grant.is_settled or not grant.is_full:
             self._table = grant.table
 
--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -10,6 +10,7 @@
     CONTROL,
     LEASE,
     MEMBERS,
+    SUSPECTS,
     TARGETS,
     Blackboard,
     ControlView,
@@ -306,6 +307,27 @@
         assert holder.board.read(TARGETS)["e1"].state is not TargetState.LIVE
         assert holder.board.read(LEASE).valid_until == LEASE_TIMINGS.duration
 
+    def test_suspects_are_sent_when_they_change(self) -> None:
+        leader = Leader("p")
+        holder = Holder("e1", 1, ("p",))
+        suspects = (("f", 1),)
+        sent: list[object] = []
+        for step, known in ((0, ()), (3, suspects), (6, suspects)):
+            view = ControlView(True, 1, 100.0, suspects=known)
+            leader.control.set(view)
+            (request,) = holder.controller.handle(LeaseDue(), float(step))
+            assert isinstance(request.message, LeaseRequest)
+            for action in leader.grantor.handle(
+                LeaseRequested(request.message), float(step)
+            ):
+                if isinstance(action, SendToPeer):
+                    assert isinstance(action.message, LeaseGrant)
+                    sent.append(action.message.suspects)
+                    grant = GrantReceived(action.message)
+                    holder.controller.handle(grant, float(step))
+        assert sent == [(), suspects, None]
+        assert holder.board.read(SUSPECTS) == {"f": 1}
+
     def test_member_that_leaves_is_listed_as_leaving(self) -> None:
         leader = Leader("p")
         leader.lead(1, until=100.0)
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -139,8 +139,9 @@
     is_settled: bool
     members: tuple[MemberRecord, ...]
     targets: tuple[TargetRecord, ...]
-    #: Request fingerprints that lost targets, with the number lost.
-    suspects: tuple[tuple[str, int], ...]
+    #: Request fingerprints that lost targets, with the number lost; ``None``
+    #: where they did not change.
+    suspects: tuple[tuple[str, int], ...] | None
 
 
 class TargetReport(NamedTuple):
