--- a/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -3,8 +3,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
+from hypothesis import given, strategies as st
 from returns.result import Failure, Success
 
 from heathertack.bundle import (
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -37,6 +37,7 @@
     CallPhase,
     ClaimAnswered,
     ClaimTimedOut,
+    Event as CallEvent,
     OutcomeRecorded,
     RecordingTimedOut,
     RefuseCaller,
@@ -45,9 +46,6 @@
     TargetAnswered,
     TargetUnreached,
 )
-from heathertack.controllers._call import (
-    Event as CallEvent,
-)
 from heathertack.controllers._control_log import (
     ChangeReplicas,
     CommandSubmitted,
@@ -66,9 +64,11 @@
     RequestOpened,
 )
 from heathertack.controllers._generation import (
-    Action as GenerationAction,
+    GenerationController,
+    GenerationLimits,
 )
-from heathertack.controllers._generation import (
+from heathertack.controllers._generation_types import (
+    Action as GenerationAction,
     CallerLeft,
     CancelAttempt,
     CloseLink,
@@ -78,10 +78,9 @@
     DiscardDelivered,
     DropReason,
     EndArrived,
+    Event as GenerationEvent,
     Execution,
     FailAnswer,
-    GenerationController,
-    GenerationLimits,
     GenerationState,
     LinkClosed,
     LinkFailure,
@@ -96,13 +95,8 @@
     ReportTargetFailure,
     RequestPlacement,
     ResumeStream,
-    TokensArrived,
-)
-from heathertack.controllers._generation import (
-    Event as GenerationEvent,
-)
-from heathertack.controllers._generation import (
     TimePassed as GenerationTimePassed,
+    TokensArrived,
 )
 from heathertack.controllers._lease_grantor import (
     BundleCommitted,
@@ -126,8 +120,6 @@
 )
 from heathertack.controllers._orders import (
     Action as OrderAction,
-)
-from heathertack.controllers._orders import (
     EngineWeights,
     FreeTarget,
     HoldTarget,
--- a/packages/heathertack/src/heathertack/controllers/_call.py
+++ b/packages/heathertack/src/heathertack/controllers/_call.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple, assert_never
 
-from heathertack.controllers._generation import Execution, Refusal
+from heathertack.controllers._generation_types import Execution, Refusal
 from heathertack.state import (
     CallFound,
     CallOutcome,
--- a/packages/heathertack/src/heathertack/controllers/tests/test_call.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_call.py
@@ -1,6 +1,5 @@
 import pytest
-from hypothesis import settings
-from hypothesis import strategies as st
+from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from heathertack.controllers import (
--- a/packages/heathertack/src/heathertack/controllers/tests/test_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_control_log.py
@@ -1,8 +1,7 @@
 from itertools import permutations
 
 import pytest
-from hypothesis import settings
-from hypothesis import strategies as st
+from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -1,8 +1,7 @@
 from typing import ClassVar
 
 import pytest
-from hypothesis import settings
-from hypothesis import strategies as st
+from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from heathertack.blackboard import (
--- a/packages/heathertack/src/heathertack/policy/tests/test_policy.py
+++ b/packages/heathertack/src/heathertack/policy/tests/test_policy.py
@@ -1,6 +1,5 @@
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
+from hypothesis import given, strategies as st
 
 from heathertack.policy import (
     FairQueue,
--- a/packages/heathertackd/src/heathertackd/_control_client.py
+++ b/packages/heathertackd/src/heathertackd/_control_client.py
@@ -6,8 +6,7 @@
 import secrets
 from collections.abc import Callable
 
-from returns.result import Failure, Success
-from returns.result import Result as Outcome
+from returns.result import Failure, Result as Outcome, Success
 
 from heathertack.messages import ControlReply, ControlRequest, ControlStatus
 from heathertack.state import COMMAND_CODEC, RESULT_CODEC, Command, Result
