--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -28,6 +28,8 @@
 )
 from heathertack.controllers._admission_group import (
     AdmissionGroup,
+)
+from heathertack.controllers._admission_types import (
     EngineLoad,
 )
 from heathertack.controllers._call import (
@@ -47,15 +49,17 @@
     TargetUnreached,
 )
 from heathertack.controllers._control_log import (
+    ControlLogController,
+    instance_of,
+)
+from heathertack.controllers._control_log_events import (
     ChangeReplicas,
     CommandSubmitted,
     ConsensusReceived,
-    ControlLogController,
     JoinReceived,
     ProposalsDue,
     ReplicaOperation,
     TimePassed,
-    instance_of,
 )
 from heathertack.controllers._drain import (
     DrainController,
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -13,11 +13,8 @@
     Section,
 )
 from heathertack.controllers._actions import SendToPeer
-from heathertack.controllers._admission_group import (
-    AddressedReply,
-    AdmissionGroup,
-    EngineLoad,
-)
+from heathertack.controllers._admission_group import AdmissionGroup
+from heathertack.controllers._admission_types import AddressedReply, EngineLoad
 from heathertack.messages import (
     MemberState,
     ReservationAnnounce,
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping
-from typing import NamedTuple
 
+from heathertack.controllers._admission_types import (
+    AddressedReply,
+    EngineLoad,
+    HeldReservation,
+    WaitingRequest,
+)
+from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
     ReservationAnnounce,
     ReservationGrant,
@@ -26,59 +31,8 @@
 )
 
 _LOSSES_TO_QUARANTINE = 2
-_BACKLOG_BEFORE_ESTIMATE_SECONDS = 3.0
 _PREDICTIONS_PER_DOUBLING = 6
 
-Reply = ReservationGrant | ReservationRefusal | ReservationQueued
-
-
-class AddressedReply(NamedTuple):
-    """A reply with the instance that it is for."""
-
-    instance: str
-    reply: Reply
-
-
-class EngineLoad(NamedTuple):
-    """Load report of an engine."""
-
-    #: Grows with every report.
-    sequence: int
-    #: Generations being decoded.
-    running: int
-    #: Generations waiting in the engine.
-    waiting: int
-    #: Tokens in the cache that belong to running generations.
-    cache_tokens: int
-    #: Tokens that the cache holds.
-    cache_capacity: int
-    #: Preemptions since the engine started.
-    preemptions: int
-
-
-class _Waiting(NamedTuple):
-    """A request in the queue."""
-
-    request: ReservationRequest
-    instance: str
-    deadline: float
-    heard_at: float
-    #: Targets that were lost to copies of the request.
-    losses: int
-
-
-class _Held(NamedTuple):
-    """A reservation that an entry uses."""
-
-    request: ReservationRequest
-    instance: str
-    target: str
-    made: int
-    heard_at: float
-    #: Predicted length, and the tokens from which on it is predicted again.
-    predicted_length: int
-    predicted_until: int
-
 
 class AdmissionGroup:
     """Queue and ledgers of the targets of one group.
@@ -106,18 +60,17 @@
         self._tuning = tuning
         self._estimator = estimator
         self._settled_at = now + tuning.settling
-        self._queue: FairQueue[_Waiting] = FairQueue()
+        self._queue: FairQueue[WaitingRequest] = FairQueue()
         self._ledgers: dict[str, TargetLedger] = {}
         self._prefixes: dict[str, PrefixIndex] = {}
-        self._held: dict[str, _Held] = {}
+        self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
         self._losses: dict[str, int] = {}
         self._quantile = tuning.quantile
         self._quantile_at = now
-        self._grant_times: deque[float] = deque()
-        self._backlog_since: float | None = None
+        self._waits = WaitEstimator(tuning.rate_window)
 
     @property
     def is_idle(self) -> bool:
@@ -286,7 +239,7 @@
                 self._queue.remove(queued.key)
             elif now >= waiting.deadline:
                 self._queue.remove(queued.key)
-                refusals.append(self._refuse_late(waiting))
+                refusals.append(self._refuse_late(waiting, now))
         self._queue.forget_idle()
         return (*refusals, *self.dispatch(now))
 
@@ -307,14 +260,14 @@
             is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
             if is_old_head or passed > self._tuning.look_ahead:
                 break
-        self._note_backlog(now)
+        self._waits.note_queue(len(self._queue), now)
         return tuple(replies)
 
     def _enqueue(
         self,
         request: ReservationRequest,
         instance: str,
-        earlier: QueuedItem[_Waiting] | None,
+        earlier: QueuedItem[WaitingRequest] | None,
         losses: int,
         now: float,
     ) -> None:
@@ -323,7 +276,7 @@
         deadline = (
             earlier.item.deadline if earlier is not None else now + request.patience
         )
-        waiting = _Waiting(request, instance, deadline, now, losses)
+        waiting = WaitingRequest(request, instance, deadline, now, losses)
         self._queue.add(
             QueuedItem(
                 request.generation_id,
@@ -340,7 +293,7 @@
     ) -> AddressedReply | None:
         """Refuse a request at once that would wait longer than it may."""
         ahead = sum(1 for q in self._queue.ordered() if q.priority >= request.priority)
-        estimate = self._estimate_wait(ahead, now)
+        estimate = self._waits.estimate(ahead, now)
         if len(self._queue) >= self._tuning.queue_limit:
             reason = f"{len(self._queue)} requests wait already"
             return self._refuse(request, instance, "queue_full", estimate, reason)
@@ -350,9 +303,9 @@
             return self._refuse(request, instance, "overloaded", wait, reason)
         return None
 
-    def _refuse_late(self, waiting: _Waiting) -> AddressedReply:
+    def _refuse_late(self, waiting: WaitingRequest, now: float) -> AddressedReply:
         request = waiting.request
-        wait = len(self._queue) / max(self._grant_rate(), 0.1)
+        wait = self._waits.drain_time(len(self._queue), now)
         reason = f"no target had room within {request.patience:.1f} s"
         return self._refuse(request, waiting.instance, "overloaded", wait, reason)
 
@@ -371,30 +324,7 @@
         )
         return AddressedReply(instance, refusal)
 
-    def _estimate_wait(self, ahead: int, now: float) -> float:
-        """Return the expected wait behind other requests, seconds."""
-        since = self._backlog_since
-        if since is None or now - since < _BACKLOG_BEFORE_ESTIMATE_SECONDS:
-            return 0.0
-        self._forget_old_grants(now)
-        return (ahead + 1) / max(self._grant_rate(), 0.1)
-
-    def _grant_rate(self) -> float:
-        """Return the recent number of grants per second."""
-        return len(self._grant_times) / self._tuning.rate_window
-
-    def _forget_old_grants(self, now: float) -> None:
-        limit = now - self._tuning.rate_window
-        while self._grant_times and self._grant_times[0] < limit:
-            self._grant_times.popleft()
-
-    def _note_backlog(self, now: float) -> None:
-        if not len(self._queue):
-            self._backlog_since = None
-        elif self._backlog_since is None:
-            self._backlog_since = now
-
-    def _choose_target(self, waiting: _Waiting, now: float) -> str | None:
+    def _choose_target(self, waiting: WaitingRequest, now: float) -> str | None:
         """Return the target with the lowest projected load that has room."""
         request = waiting.request
         if waiting.losses and self._is_running(request.fingerprint):
@@ -467,15 +397,16 @@
         )
         return LedgerEntry(request.prompt_tokens + made, remaining)
 
-    def _place(self, waiting: _Waiting, target: str, now: float) -> AddressedReply:
+    def _place(
+        self, waiting: WaitingRequest, target: str, now: float
+    ) -> AddressedReply:
         request = waiting.request
         ledger = self._ledgers[target]
         before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
         self._hold(request, waiting.instance, target, 0, now)
         self._prefixes[target].note_sent(request.prefix)
         self._queue.charge(request.account, request.share, request.prompt_tokens)
-        self._grant_times.append(now)
-        self._forget_old_grants(now)
+        self._waits.note_grant(now)
         return AddressedReply(waiting.instance, _grant(request, target, before))
 
     def _hold(
@@ -494,7 +425,9 @@
         else:
             length = made + self._predict(request, made).remaining
             until = min(made + made // _PREDICTIONS_PER_DOUBLING + 1, length)
-        self._held[key] = _Held(request, instance, target, made, now, length, until)
+        self._held[key] = HeldReservation(
+            request, instance, target, made, now, length, until
+        )
         ledger = self._ledgers.get(target)
         if ledger is not None:
             cached = request.prompt_tokens + made
@@ -506,7 +439,7 @@
         if held is not None and held.target in self._ledgers:
             self._ledgers[held.target].release(generation_id)
 
-    def _charge(self, held: _Held, made: int) -> None:
+    def _charge(self, held: HeldReservation, made: int) -> None:
         tokens = max(made - held.made, 0)
         if tokens:
             self._queue.charge(held.request.account, held.request.share, tokens)
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_admission_types.py
@@ -0,0 +1,62 @@
+"""Data of the admission to one group of targets."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from heathertack.messages import (
+    ReservationGrant,
+    ReservationQueued,
+    ReservationRefusal,
+    ReservationRequest,
+)
+
+Reply = ReservationGrant | ReservationRefusal | ReservationQueued
+
+
+class AddressedReply(NamedTuple):
+    """A reply with the instance that it is for."""
+
+    instance: str
+    reply: Reply
+
+
+class EngineLoad(NamedTuple):
+    """Load report of an engine."""
+
+    #: Grows with every report.
+    sequence: int
+    #: Generations being decoded.
+    running: int
+    #: Generations waiting in the engine.
+    waiting: int
+    #: Tokens in the cache that belong to running generations.
+    cache_tokens: int
+    #: Tokens that the cache holds.
+    cache_capacity: int
+    #: Preemptions since the engine started.
+    preemptions: int
+
+
+class WaitingRequest(NamedTuple):
+    """A request in the queue."""
+
+    request: ReservationRequest
+    instance: str
+    deadline: float
+    heard_at: float
+    #: Targets that were lost to copies of the request.
+    losses: int
+
+
+class HeldReservation(NamedTuple):
+    """A reservation that an entry uses."""
+
+    request: ReservationRequest
+    instance: str
+    target: str
+    made: int
+    heard_at: float
+    #: Predicted length, and the tokens from which on it is predicted again.
+    predicted_length: int
+    predicted_until: int
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from returns.result import Failure, Success
@@ -12,7 +11,6 @@
     AppendEntries,
     ApplyEntries,
     ChangeLeadership,
-    ConsensusMessage,
     Effect,
     EntryKind,
     LogEntry,
@@ -31,6 +29,16 @@
     AnswerCommand,
     SendToPeer,
 )
+from heathertack.controllers._control_log_events import (
+    ChangeReplicas,
+    CommandSubmitted,
+    ConsensusReceived,
+    Event,
+    JoinReceived,
+    ProposalsDue,
+    ReplicaOperation,
+    TimePassed,
+)
 from heathertack.messages import ControlStatus, JoinRequest
 from heathertack.state import (
     COMMAND_CODEC,
@@ -57,65 +65,6 @@
 Action = SendToPeer | AnswerCommand | AnnounceBundle | AnnounceLeadership
 
 
-class ConsensusReceived(NamedTuple):
-    """A message of another replica arrived."""
-
-    message: ConsensusMessage
-
-
-class JoinReceived(NamedTuple):
-    """A replica asks to receive the log."""
-
-    request: JoinRequest
-
-
-class CommandSubmitted(NamedTuple):
-    """Somebody wants a command committed."""
-
-    request_id: str
-    #: Instance that submitted it, empty for this one.
-    requester: str
-    command: Command
-    #: Wall clock, seconds since the epoch.
-    wall_time: float
-
-
-class ProposalsDue(NamedTuple):
-    """Submitted commands are to be appended together."""
-
-
-class ReplicaOperation(StrEnum):
-    """Change of the membership that an operator asks for."""
-
-    ADD = "add"
-    REMOVE = "remove"
-
-
-class ChangeReplicas(NamedTuple):
-    """An operator changes the membership."""
-
-    request_id: str
-    operation: ReplicaOperation
-    replica: str
-
-
-class TimePassed(NamedTuple):
-    """The clock advanced."""
-
-    #: Wall clock, seconds since the epoch.
-    wall_time: float
-
-
-Event = (
-    ConsensusReceived
-    | JoinReceived
-    | CommandSubmitted
-    | ProposalsDue
-    | ChangeReplicas
-    | TimePassed
-)
-
-
 class _Pending(NamedTuple):
     """A command whose result somebody waits for."""
 
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -11,7 +11,7 @@
     SendToPeer,
 )
 from heathertack.controllers._bundle_archive import BundleArchive
-from heathertack.controllers._control_log import TimePassed
+from heathertack.controllers._control_log_events import TimePassed
 from heathertack.controllers._lease_timings import LeaseTimings
 from heathertack.controllers._tables import VersionedTable
 from heathertack.messages import (
