--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import Any, NamedTuple, assert_never
 
 import aiohttp
@@ -52,6 +51,7 @@
 from heathertack.messages import ReservationRequest
 from heathertack.state import LossRecorded, ReportTargetLoss, TargetLoss
 from heathertackd import _clock
+from heathertackd._caller_stream import CallerStream
 from heathertackd._engine_client import EngineClient, EngineEvent, read_events
 from heathertackd._instance import Instance
 from heathertackd._refusals import not_run, refusal_document, refusal_response
@@ -60,9 +60,6 @@
 _QUEUED_CHUNKS = 16
 _LOSS_REPORT_SECONDS = 2.0
 _MADE_REPORT_EVENTS = 16
-_SEND_BUFFER_BYTES = 64 * 1024
-#: A write of fewer bytes to an idle connection never waits.
-_UNBLOCKED_BYTES = 32 * 1024
 
 
 class GenerationOrder(NamedTuple):
@@ -101,7 +98,6 @@
         self._instance = instance
         self._engines = engines
         self._order = order
-        self._http_request = http_request
         reservation = order.reservation
         self._id = reservation.generation_id
         self._controller = GenerationController(
@@ -119,9 +115,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._links: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[Any]] = set()
-        self._response: web.StreamResponse | None = None
+        self._stream = CallerStream(http_request, self._id, order.write_timeout)
+        self._whole_response: web.Response | None = None
         self._held_text: list[str] = []
-        self._unsent = bytearray()
         self._first_token_at: float | None = None
         self._last_token_at = 0.0
         self._longest_gap = 0.0
@@ -147,20 +143,21 @@
             for task in self._links.values():
                 task.cancel()
             self._note_gaps()
-        if self._response is None:
+        response = self._whole_response or self._stream.response
+        if response is None:
             message = "the generation ended without an answer"
             return refusal_response(not_run("internal_error", message))
-        return self._response
+        return response
 
     def take_placement(self, decision: TargetChosen | PlacementDenied) -> None:
         """Take the decision of admission."""
         event: GenerationEvent
         if isinstance(decision, TargetChosen):
             detail = f"{decision.target}: {decision.reason}"
-            self._instance.explain(self._id, "placed", detail)
+            self._instance.explanations.add(self._id, "placed", detail)
             event = Placed(decision.attempt, decision.target)
         else:
-            self._instance.explain(self._id, decision.code, decision.reason)
+            self._instance.explanations.add(self._id, decision.code, decision.reason)
             refusal = not_run(decision.code, decision.reason, decision.retry_after)
             event = PlacementRefused(decision.attempt, refusal)
         self._spawn(self._events.put((event,)))
@@ -172,7 +169,7 @@
         now = _clock.monotonic()
         for event in events:
             await self._carry_out(self._controller.handle(event, now))
-        await self._flush()
+        await self._stream.flush()
 
     def _arm_timer(self) -> None:
         """Make sure that the controller is called at its next deadline.
@@ -203,7 +200,7 @@
     async def _leave(self) -> None:
         """Free what the generation holds, because its caller left."""
         actions = self._controller.handle(CallerLeft(), _clock.monotonic())
-        self._unsent.clear()
+        self._stream.discard()
         await self._carry_out(actions)
         self._count_end("cancelled")
 
@@ -266,7 +263,7 @@
 
     def _resume_link(self, action: ResumeStream) -> None:
         self._instance.metrics.resumes.inc()
-        self._instance.explain(
+        self._instance.explanations.add(
             self._id, "resumed", f"{action.target} from {action.offset}"
         )
         address = self._find_address(action.target)
@@ -315,7 +312,7 @@
         if not self._order.request.stream:
             self._held_text.append(text)
             return
-        self._unsent += self._writer.encode_chunk(text)
+        self._stream.add(self._writer.encode_chunk(text))
 
     def _note_token_time(self, now: float) -> None:
         metrics = self._instance.metrics
@@ -343,47 +340,15 @@
             known = health.get(target, TargetHealth())
             self._controller.set_stall_bound(stall_bound(known))
 
-    async def _flush(self) -> None:
-        """Write what was delivered; a slow caller holds back the engine."""
-        if not self._unsent:
-            return
-        response = await self._start_response()
-        data = bytes(self._unsent)
-        self._unsent.clear()
-        await self._write(response, data)
-
-    async def _start_response(self) -> web.StreamResponse:
-        if self._response is None:
-            response = web.StreamResponse(
-                headers={
-                    "Content-Type": "text/event-stream",
-                    "Cache-Control": "no-cache",
-                    "X-Request-Id": self._id,
-                }
-            )
-            self._response = response
-            _bound_send_buffer(self._http_request)
-            await response.prepare(self._http_request)
-        return self._response
-
-    async def _write(self, response: web.StreamResponse, data: bytes) -> None:
-        transport = self._http_request.transport
-        is_idle = transport is not None and not transport.get_write_buffer_size()
-        if is_idle and len(data) < _UNBLOCKED_BYTES:
-            await response.write(data)
-            return
-        async with asyncio.timeout(self._order.write_timeout):
-            await response.write(data)
-
     async def _complete(self, action: CompleteAnswer) -> None:
         self._count_end("whole")
-        self._instance.explain(self._id, "whole", f"{action.tokens} events")
+        self._instance.explanations.add(self._id, "whole", f"{action.tokens} events")
         if self._order.request.stream:
-            self._unsent += self._writer.encode_end(action.reason)
-            await self._flush()
+            self._stream.add(self._writer.encode_end(action.reason))
+            await self._stream.flush()
             return
         text = "".join(self._held_text)
-        self._response = web.Response(
+        self._whole_response = web.Response(
             body=self._writer.encode_whole(text, action.reason, action.tokens),
             content_type="application/json",
             headers={"X-Request-Id": self._id},
@@ -394,7 +359,7 @@
         self._count_end("refused")
         account = self._labels[0]
         self._instance.metrics.refusals.labels(account, refusal.code).inc()
-        self._instance.explain(self._id, refusal.code, refusal.message)
+        self._instance.explanations.add(self._id, refusal.code, refusal.message)
         self._instance.logger.info(
             "generation_refused",
             request_id=self._id,
@@ -402,12 +367,12 @@
             code=refusal.code,
             execution=refusal.execution.value,
         )
-        if self._response is None and not self._unsent:
-            self._response = refusal_response(refusal)
-            self._response.headers["X-Request-Id"] = self._id
+        if self._stream.is_untouched:
+            self._whole_response = refusal_response(refusal)
+            self._whole_response.headers["X-Request-Id"] = self._id
             return
-        self._unsent += self._writer.encode_error(refusal_document(refusal))
-        await self._flush()
+        self._stream.add(self._writer.encode_error(refusal_document(refusal)))
+        await self._stream.flush()
 
     def _release(self, action: ReleaseTarget) -> None:
         now = _clock.monotonic()
@@ -426,7 +391,7 @@
     async def _report_loss(self, action: ReportLoss) -> None:
         """Commit the loss of a target before the request is tried again."""
         self._instance.metrics.target_losses.inc()
-        self._instance.explain(self._id, "target_lost", action.target)
+        self._instance.explanations.add(self._id, "target_lost", action.target)
         reservation = self._order.reservation
         command = ReportTargetLoss(
             reservation.fingerprint,
@@ -459,13 +424,6 @@
         task.add_done_callback(self._background.discard)
 
 
-def _bound_send_buffer(request: web.Request) -> None:
-    """Bound what the kernel holds for a caller that reads slowly."""
-    if request.transport is not None:
-        sock = request.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
-
-
 def _translate(link: int, event: EngineEvent) -> GenerationEvent:
     if event.finish_reason:
         return EndArrived(link, event.generation_id, event.offset, event.finish_reason)
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol, assert_never
+from typing import Protocol, assert_never
 
 from returns.result import Failure, Success
 
@@ -83,13 +83,13 @@
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
 from heathertackd._control_client import ControlClient
+from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
 
 _TICK_SECONDS = 0.05
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
-_EXPLAINED_REQUESTS = 2000
 
 Action = (
     SendToPeer
@@ -111,15 +111,6 @@
         ...
 
 
-class Explanation(NamedTuple):
-    """Why something happened to a request."""
-
-    #: Wall clock, seconds since the epoch.
-    at: float
-    event: str
-    detail: str
-
-
 class Instance:
     """One daemon: blackboard, controllers and peers.
 
@@ -169,7 +160,7 @@
         self._proposals_due = False
         self._local_results: dict[str, Callable[[AnswerCommand], None]] = {}
         self._task: asyncio.Task[None] | None = None
-        self._explanations: dict[str, list[Explanation]] = {}
+        self.explanations = ExplanationLog()
 
     @property
     def control_instances(self) -> tuple[str, ...]:
@@ -237,15 +228,6 @@
         """Carry out the actions of a controller."""
         self._carry_out(actions)
 
-    def submit_local(
-        self,
-        event: CommandSubmitted,
-        callback: Callable[[AnswerCommand], None],
-    ) -> None:
-        """Submit a command to the control log of this instance."""
-        self._local_results[event.request_id] = callback
-        self._queue_command(event)
-
     def expect_local_answer(
         self, request_id: str, callback: Callable[[AnswerCommand], None]
     ) -> None:
@@ -264,17 +246,6 @@
         except TimeoutError:
             return False
 
-    def explain(self, request_id: str, event: str, detail: str) -> None:
-        """Remember why something happened to a request."""
-        known = self._explanations.setdefault(request_id, [])
-        known.append(Explanation(_clock.wall_time(), event, detail))
-        while len(self._explanations) > _EXPLAINED_REQUESTS:
-            del self._explanations[next(iter(self._explanations))]
-
-    def explanations(self, request_id: str) -> tuple[Explanation, ...]:
-        """Return what is remembered of a request."""
-        return tuple(self._explanations.get(request_id, ()))
-
     def _identity(self) -> InstanceIdentity:
         http = self.settings["http"]
         return InstanceIdentity(
--- a/packages/heathertackd/src/heathertackd/_operator_api.py
+++ b/packages/heathertackd/src/heathertackd/_operator_api.py
@@ -183,7 +183,7 @@
 
     async def _explain(self, request: web.Request) -> web.Response:
         request_id = request.match_info["request"]
-        explanations = self._instance.explanations(request_id)
+        explanations = self._instance.explanations.find(request_id)
         if not explanations:
             message = f"nothing is remembered of request {request_id}"
             return _error(404, "not_found", message)
