--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -88,7 +88,8 @@
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
 
-_TICK_SECONDS = 0.05
+_CONTROL_TICK_SECONDS = 0.05
+_ENTRY_TICK_SECONDS = 0.1
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
 
 Action = (
@@ -261,9 +262,11 @@
         return self.board.read(LEASE).leader
 
     async def _tick(self) -> None:
+        is_control = self.control_log is not None
+        pause = _CONTROL_TICK_SECONDS if is_control else _ENTRY_TICK_SECONDS
         while True:
             self._pass_time()
-            await asyncio.sleep(_TICK_SECONDS)
+            await asyncio.sleep(pause)
 
     def _pass_time(self) -> None:
         now = _clock.monotonic()
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -10,7 +10,9 @@
 import aiohttp
 import pytest
 
+from heathertack.bundle import parse_bundle, sign_bundle
 from heathertack.settings import LimitSettings
+from heathertack_cli._client import Operator, ask
 from heathertack_fakes._caller import book_seat, fetch_addresses, stream_chat
 from heathertack_fakes._local_system import (
     CALLER_KEY,
@@ -312,11 +314,36 @@
         system = start_system(SystemShape())
         system.send_signal("entry-3", signal.SIGKILL)
         asyncio.run(system.wait_for_exit("entry-3", PATIENCE_SECONDS))
-        for version in range(2, 12):
-            assert system.apply_bundle(build_bundle(version)).returncode == 0
+
+        async def change() -> None:
+            for version in range(2, 302):
+                status = await apply_at(system, version % 2, build_bundle(version))
+                assert status == 200
+
+        asyncio.run(change())
         system.start_daemon("entry-3")
         asyncio.run(system.wait_until_ready())
-        assert bundle_version(system, "entry-3") == 11
+        assert bundle_version(system, "entry-3") == 301
+
+    def test_operators_who_race(self, start_system: Start) -> None:
+        system = start_system(SystemShape(control=3))
+
+        async def race(version: int) -> None:
+            bundles = [build_bundle(version) for _ in range(3)]
+            for number, bundle in enumerate(bundles):
+                bundle["classes"][f"extra-{number}"] = 3
+            answers = await asyncio.gather(
+                *(apply_at(system, i, bundle) for i, bundle in enumerate(bundles))
+            )
+            assert sorted(answers) == [200, 409, 409]
+
+        async def scenario() -> None:
+            for version in range(2, 22):
+                await race(version)
+
+        asyncio.run(scenario())
+        indexes = {status_of(system, n)["bundle_index"] for n in system.names}
+        assert len(indexes) == 1
 
 
 class TestLeaving:
@@ -377,6 +404,31 @@
 
         asyncio.run(scenario())
 
+    def test_engine_reclaimed_mid_stream(self, start_system: Start) -> None:
+        system = start_system(SystemShape(engines=2, engine_step=0.05))
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                address = entry(system)
+                task = asyncio.create_task(
+                    stream_chat(session, address, CALLER_KEY, "[[length=2000]]")
+                )
+                number = await wait_for_engine(session, system)
+                listed = system.list_targets()
+                listed[number]["state"] = "leaving"
+                document = {"instances": listed}
+                await send(session, system.platform_port, "/instances", document)
+                await asyncio.sleep(2.0)
+                assert not task.done()
+                system.send_signal(f"engine-{number + 1}", signal.SIGKILL)
+                answer = await task
+                other = await stream_chat(session, address, CALLER_KEY, "[[length=3]]")
+                assert answer.error["code"] == "target_lost"
+                assert not answer.is_whole
+                assert other.is_whole
+
+        asyncio.run(scenario())
+
 
 class TestWeights:
     def test_new_version_is_loaded_without_an_outage(self, start_system: Start) -> None:
@@ -540,6 +592,18 @@
         asyncio.run(scenario())
 
 
+async def apply_at(system: LocalSystem, number: int, bundle: dict[str, Any]) -> int:
+    """Apply a bundle through an instance and return the HTTP status."""
+    keys = system.operator
+    checked = parse_bundle("bundle", json.dumps(bundle)).unwrap()
+    signed = sign_bundle(checked, keys.name, keys.secret_key)
+    operator = Operator(
+        keys.name, keys.secret_key, entry(system, number), PATIENCE_SECONDS
+    )
+    result = await ask(operator, "POST", "/operator/bundles", signed._asdict())
+    return result.unwrap().status
+
+
 def replicas(system: LocalSystem) -> list[str]:
     document = json.loads(system.operate("status", "--json").stdout or "{}")
     listed: list[str] = document.get("replicas", [])
