--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
@@ -139,10 +139,11 @@
     ways = {
         "ours": usual,
         "quantile 0.25": usual._replace(quantile=0.25, quantile_bounds=(0.25, 0.8)),
-        "quantile 0.5": usual._replace(quantile=0.5),
+        "quantile 0.4": usual._replace(quantile=0.4),
         "quantile 0.85": usual._replace(quantile=0.85, quantile_bounds=(0.3, 0.9)),
         "strict order": usual._replace(look_ahead=0),
         "look 32 past the head": usual._replace(look_ahead=32),
+        "prefills up to 1,024 tokens": usual._replace(prefill_budget=1024),
         "no bound on prefills": usual._replace(prefill_budget=1_000_000),
         "no room kept for small ones": usual._replace(large_cache_limit=0.98),
     }
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -7,7 +7,7 @@
     """Parameters of admission."""
 
     #: Quantile of the remaining length that is reserved at first.
-    quantile: float = 0.4
+    quantile: float = 0.5
     #: Least and greatest quantile that preemptions may lead to.
     quantile_bounds: tuple[float, float] = (0.3, 0.8)
     #: Change of the quantile after a preemption, and its decay per second.
@@ -21,7 +21,7 @@
     large_part: float = 0.02
     #: Prompt tokens that may wait for their first token on one target, unless
     #: it is a single prompt.
-    prefill_budget: int = 1024
+    prefill_budget: int = 512
     #: Most generations on one target.
     batch_limit: int = 256
     #: Requests behind a head that does not fit which are looked at.
