Size the engine in two tests of the queue's order for the reserved median

Both tests of passing a head now use an engine of 2,000 tokens, and the first also asserts that the head itself is not placed.

--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -171,17 +171,17 @@
         assert group.target("small") == "e0"
 
     def test_short_one_passes_a_head_that_does_not_fit(self) -> None:
-        group = Group()
-        group.ask(request("a", prompt=600))
+        group = Group(capacity=2000)
+        group.ask(request("a", prompt=1200))
         group.started("a")
-        group.ask(request("long", prompt=900))
+        assert group.ask(request("long", prompt=1800)) == ""
         assert group.ask(request("short", prompt=20, max_tokens=20)) == "e0"
 
     def test_nobody_passes_an_old_head(self) -> None:
-        group = Group()
-        group.ask(request("a", prompt=600))
+        group = Group(capacity=2000)
+        group.ask(request("a", prompt=1200))
         group.started("a")
-        group.ask(request("long", prompt=900, patience=60.0))
+        group.ask(request("long", prompt=1800, patience=60.0))
         late = TUNING.head_age_limit + 0.1
         assert group.ask(request("short", prompt=20, max_tokens=20), late) == ""
 
