--- a/packages/heathertack-fakes/src/heathertack_fakes/__init__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/__init__.py
@@ -1,1 +1,49 @@
 """Stand-ins for the systems that heathertack serves, and experiments on them."""
+
+from heathertack_fakes._caller import (
+    BookingAnswer,
+    StreamedAnswer,
+    book_seat,
+    fetch_addresses,
+    stream_chat,
+)
+from heathertack_fakes._engine_model import (
+    EngineModel,
+    EngineRequest,
+    EngineSize,
+    EngineSpeed,
+)
+from heathertack_fakes._keys import OperatorKeys, make_operator_keys, sha256_hex
+from heathertack_fakes._local_system import (
+    CALLER_KEY,
+    HOST,
+    SMALL_CALLER_KEY,
+    LocalSystem,
+    StartFailedError,
+    SystemShape,
+    build_bundle,
+    find_free_ports,
+)
+
+__all__ = [
+    "CALLER_KEY",
+    "HOST",
+    "SMALL_CALLER_KEY",
+    "BookingAnswer",
+    "EngineModel",
+    "EngineRequest",
+    "EngineSize",
+    "EngineSpeed",
+    "LocalSystem",
+    "OperatorKeys",
+    "StartFailedError",
+    "StreamedAnswer",
+    "SystemShape",
+    "book_seat",
+    "build_bundle",
+    "fetch_addresses",
+    "find_free_ports",
+    "make_operator_keys",
+    "sha256_hex",
+    "stream_chat",
+]
--- a/packages/heathertack-fakes/src/heathertack_fakes/bench/__main__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/bench/__main__.py
@@ -18,7 +18,7 @@
 
 from docopt import docopt
 
-from heathertack_fakes._local_system import LocalSystem, SystemShape, build_bundle
+from heathertack_fakes import LocalSystem, SystemShape, build_bundle
 from heathertack_fakes.bench._control import (
     measure_accounts,
     measure_calls,
--- a/packages/heathertack-fakes/src/heathertack_fakes/bench/_control.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/bench/_control.py
@@ -22,17 +22,17 @@
 )
 from heathertack.state import ClaimCall, ControlStateMachine
 from heathertack.storage import StorageIdentity, format_folder, open_storage
-from heathertack_fakes._caller import book_seat
-from heathertack_fakes._keys import sha256_hex
-from heathertack_fakes._local_system import (
+from heathertack_fakes import (
     CALLER_KEY,
     HOST,
     LocalSystem,
     SystemShape,
+    book_seat,
     build_bundle,
+    sha256_hex,
 )
 from heathertack_fakes.bench._figures import print_table, quantile, read_process
-from heathertackd._disk import FolderDisk
+from heathertackd import FolderDisk
 
 _GROUP_SIZES = (1, 8, 64)
 _COMMIT_SECONDS = 2.0
--- a/packages/heathertack-fakes/src/heathertack_fakes/bench/_relay.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/bench/_relay.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from heathertack_fakes._local_system import (
+from heathertack_fakes import (
     CALLER_KEY,
     HOST,
     LocalSystem,
--- a/packages/heathertack-fakes/src/heathertack_fakes/demo.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/demo.py
@@ -15,13 +15,15 @@
 import aiohttp
 from docopt import docopt
 
-from heathertack_fakes._caller import book_seat, fetch_addresses, stream_chat
-from heathertack_fakes._local_system import (
+from heathertack_fakes import (
     CALLER_KEY,
     HOST,
     LocalSystem,
     SystemShape,
+    book_seat,
     build_bundle,
+    fetch_addresses,
+    stream_chat,
 )
 
 _TOKENS = 12
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -1,5 +1,6 @@
 """The heathertack daemon."""
 
+from heathertackd._disk import FolderDisk
 from heathertackd._main import main
 
-__all__ = ["main"]
+__all__ = ["FolderDisk", "main"]
--- a/packages/heathertackd/src/heathertackd/tests/conftest.py
+++ b/packages/heathertackd/src/heathertackd/tests/conftest.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from heathertack_fakes._local_system import LocalSystem, SystemShape, build_bundle
+from heathertack_fakes import LocalSystem, SystemShape, build_bundle
 
 BINARIES = Path(sys.executable).parent
 Start = Callable[[SystemShape], LocalSystem]
--- a/packages/heathertackd/src/heathertackd/tests/test_main.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_main.py
@@ -7,7 +7,7 @@
 import pytest
 import zmq
 
-from heathertack_fakes._local_system import HOST, find_free_ports
+from heathertack_fakes import HOST, find_free_ports
 from heathertackd import main
 
 
