Call a request unknown once a silent first link was given up

Found while reading, red first: a request was sent, its link stayed silent, the resume found the engine without the generation, and the refusal then said 'not run', although bytes of the request may still reach the engine. Such a request is now 'unknown'; the engine is not counted as lost.

--- a/packages/heathertack/src/heathertack/controllers/_generation.py
+++ b/packages/heathertack/src/heathertack/controllers/_generation.py
@@ -325,7 +325,11 @@
         return ()
 
     def _resume(self, now: float) -> tuple[Action, ...]:
-        """Open another link to the same target and drop the present one."""
+        """Open another link to the same target and drop the present one.
+
+        The request may have reached the target on the link that is dropped.
+        """
+        self._has_run = True
         closed = CloseLink(self._link)
         if self._link_is_open:
             self._unlinked_since = now
--- a/packages/heathertack/src/heathertack/controllers/tests/test_generation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_generation.py
@@ -276,6 +276,14 @@
                 ],
                 Execution.UNKNOWN,
             ),
+            (
+                [
+                    (0, PLACE),
+                    (5.1, GenerationTimePassed()),
+                    (5.2, LinkClosed(2, UNKNOWN)),
+                ],
+                Execution.UNKNOWN,
+            ),
         ],
     )
     def test_says_not_run_only_if_nothing_can_have_run(
