Never send a call again that must not run twice

Found while reading, red first (PUT, DELETE and GET ran twice): the HTTP client library sends requests with these methods again by itself when a connection breaks, so that a route declared as not idempotent could run twice after a target died between running a call and answering it. POST was not affected. Ruled out: fresh connections (it repeats there too). A middleware now lets each call pass once; the caller gets 'unknown'.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -70,6 +70,24 @@
         return hashlib.sha256(text + self.body).hexdigest()
 
 
+class _SendOnce:
+    """Keeps aiohttp from sending a request again.
+
+    It does so by itself for PUT, DELETE and GET when a connection breaks.
+    """
+
+    def __init__(self) -> None:
+        self._is_sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        if self._is_sent:
+            raise aiohttp.ClientConnectionError("the connection broke")
+        self._is_sent = True
+        return await handler(request)
+
+
 class PlainClient:
     """Sends calls to plain services.
 
@@ -85,7 +103,21 @@
     async def send(
         self, target: TargetRecord, order: CallOrder
     ) -> TargetAnswered | TargetUnreached | AnswerLost:
-        """Send a call once and return what came of it."""
+        """Send a call that may be repeated and return what came of it."""
+        return await self._send(target, order, ())
+
+    async def send_once(
+        self, target: TargetRecord, order: CallOrder
+    ) -> TargetAnswered | TargetUnreached | AnswerLost:
+        """Send a call that must not run twice and return what came of it."""
+        return await self._send(target, order, (_SendOnce(),))
+
+    async def _send(
+        self,
+        target: TargetRecord,
+        order: CallOrder,
+        middlewares: tuple[_SendOnce, ...],
+    ) -> TargetAnswered | TargetUnreached | AnswerLost:
         timeout = aiohttp.ClientTimeout(
             total=order.timeout, sock_connect=_CONNECT_SECONDS
         )
@@ -100,6 +132,7 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=middlewares,
             ) as response:
                 body = await response.content.read(_MOST_ANSWER_BYTES + 1)
                 if len(body) > _MOST_ANSWER_BYTES:
@@ -239,7 +272,7 @@
         target = turns.take()
         if target is None:
             return TargetUnreached(has_alternative=False)
-        result = await self._client.send(target, order)
+        result = await self._client.send_once(target, order)
         if isinstance(result, TargetUnreached):
             self._note_failure(target)
             return TargetUnreached(has_alternative=turns.has_more)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
@@ -0,0 +1,48 @@
+import asyncio
+
+import aiohttp
+import pytest
+
+from heathertack.controllers import AnswerLost, TargetUnreached
+from heathertack.messages import TargetRecord, TargetState
+from heathertackd._call_session import CallOrder, PlainClient
+
+HOST = "127.0.0.1"
+
+
+def order(method: str) -> CallOrder:
+    return CallOrder("portal", "school", method, "/seats/1", {}, b"", "k", 5.0)
+
+
+def target(port: int) -> TargetRecord:
+    address = f"{HOST}:{port}"
+    return TargetRecord("p1", "portal", address, "nairobi-a", TargetState.LIVE)
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "PATCH", "GET"])
+    async def test_broken_connection_is_not_sent_again(self, method: str) -> None:
+        """The target reads the call, runs it and dies before it answers."""
+        runs = 0
+
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal runs
+            await reader.readuntil(b"\r\n\r\n")
+            runs += 1
+            writer.close()
+
+        server = await asyncio.start_server(run, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        async with aiohttp.ClientSession() as session:
+            client = PlainClient(session)
+            result = await client.send_once(target(port), order(method))
+        server.close()
+        assert isinstance(result, AnswerLost)
+        assert runs == 1
+
+    async def test_refused_connection_did_not_run(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            result = await PlainClient(session).send_once(target(1), order("POST"))
+        assert isinstance(result, TargetUnreached)
