Prove a rolling restart of all instances under load; let make prove find the machines

Three instances, each a voter, restart one after the other while four callers stream: no request failed. make prove selected nothing, since pytest names the machines runTest.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 COUNT ?= 500
 prove: $(VENV)/.installed
 	HYPOTHESIS_PROFILE=prove PROVE_COUNT=$(COUNT) $(BIN)/python -m pytest \
-		--hypothesis-seed=$(SEED) --hypothesis-show-statistics -k "TestCase"
+		--hypothesis-seed=$(SEED) --hypothesis-show-statistics -k runTest
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.bench --bin=$(BIN)
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -58,6 +58,7 @@
     TargetChosen,
     TargetHealthController,
     TimePassed,
+    instance_of,
 )
 from heathertack.messages import (
     ControlReply,
@@ -205,7 +206,8 @@
                     event = ConsensusReceived(message)
                     self._carry_out(self.control_log.handle(event, now))
             case JoinRequest():
-                if self.control_log is not None:
+                is_own = instance_of(message.replica) == sender
+                if self.control_log is not None and is_own:
                     join = JoinReceived(message)
                     self._carry_out(self.control_log.handle(join, now))
             case LeaseRequest() | LeaseGrant() | LeaderHint() | TargetReport():
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -381,6 +381,54 @@
         exited = asyncio.run(system.wait_for_exit("entry-3", PATIENCE_SECONDS))
         assert exited == 0
 
+    def test_rolling_restart_fails_no_request(self, start_system: Start) -> None:
+        system = start_system(SystemShape(control=3, engines=2))
+        wait_for_voters(system, 3)
+        failures: list[str] = []
+        served = 0
+
+        async def use(session: aiohttp.ClientSession, number: int) -> None:
+            """Ask for addresses each time, from an instance that is known to run."""
+            nonlocal served
+            while True:
+                running = [n for n in system.names if n in staying]
+                asked = running[number % len(running)]
+                try:
+                    addresses = await fetch_addresses(
+                        session, f"{HOST}:{system.http_ports[asked]}", "tutor-model"
+                    )
+                    answer = await stream_chat(
+                        session, addresses[0], CALLER_KEY, "[[length=10]]"
+                    )
+                except (aiohttp.ClientError, KeyError) as error:
+                    failures.append(repr(error))
+                    continue
+                if answer.is_whole and answer.text == expected_text(10):
+                    served += 1
+                else:
+                    failures.append(str(answer))
+
+        staying = set(system.names)
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                users = [asyncio.create_task(use(session, i)) for i in range(4)]
+                for name in system.names:
+                    staying.discard(name)
+                    await asyncio.sleep(0.5)
+                    system.send_signal(name, signal.SIGTERM)
+                    assert await system.wait_for_exit(name, PATIENCE_SECONDS) == 0
+                    system.start_daemon(name)
+                    await system.wait_until_ready([name])
+                    await asyncio.to_thread(wait_for_voters, system, 3)
+                    staying.add(name)
+                for user in users:
+                    user.cancel()
+
+        asyncio.run(scenario())
+        assert failures == []
+        assert served > 0
+
     def test_leaving_engine_gets_no_new_work(self, start_system: Start) -> None:
         system = start_system(SystemShape(engines=2))
 
