Bound what the control log keeps of an answer to 32 KB

A longer one is given to its caller whole and recorded as run without its body; the same key then gets 'completed' instead of the body.

--- a/packages/heathertack/src/heathertack/controllers/_call.py
+++ b/packages/heathertack/src/heathertack/controllers/_call.py
@@ -103,6 +103,7 @@
 Action = SendCall | SubmitOutcome | AnswerCaller | RefuseCaller
 
 _IN_PROGRESS_RETRY_SECONDS = 1.0
+_MOST_KEPT_BYTES = 32 * 1024
 
 
 class CallController:
@@ -136,7 +137,7 @@
                 return self._give_up_claim()
             case TargetAnswered():
                 answer = AnswerCaller(event.outcome, is_replay=False)
-                return self._record(SubmitOutcome(event.outcome), answer)
+                return self._record(SubmitOutcome(_shorten(event.outcome)), answer)
             case TargetUnreached():
                 return self._take_unreached(event.has_alternative)
             case AnswerLost():
@@ -174,7 +175,7 @@
             refusal = Refusal("key_reused", message, Execution.NOT_RUN)
             return RefuseCaller(422, refusal)
         if record.state is CallState.FINISHED and record.outcome is not None:
-            return AnswerCaller(record.outcome, is_replay=True)
+            return _replay(record.outcome)
         if record.state is CallState.RUNNING:
             message = "the call with this key is in progress"
             wait = _IN_PROGRESS_RETRY_SECONDS
@@ -214,3 +215,18 @@
             return ()
         self._phase = CallPhase.DONE
         return (self._final,)
+
+
+def _shorten(outcome: CallOutcome) -> CallOutcome:
+    """Return what is kept of an answer in the control log."""
+    if len(outcome.body) <= _MOST_KEPT_BYTES:
+        return outcome
+    return outcome._replace(body=b"", is_kept=False)
+
+
+def _replay(outcome: CallOutcome) -> Action:
+    if outcome.is_kept:
+        return AnswerCaller(outcome, is_replay=True)
+    message = f"the call ran with status {outcome.status}; its answer was not kept"
+    refusal = Refusal("answer_not_kept", message, Execution.COMPLETED)
+    return RefuseCaller(409, refusal)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_call.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_call.py
@@ -35,9 +35,11 @@
 GRANTED = ClaimAnswered(ClaimGranted("c"))
 
 
-def found(state: CallState, digest: str = "d") -> ClaimAnswered:
-    outcome = OUTCOME if state is CallState.FINISHED else None
-    record = CallRecord("a", "k", "s", digest, "x", "e", 1, state, outcome, 0.0, "n")
+def found(
+    state: CallState, digest: str = "d", outcome: CallOutcome = OUTCOME
+) -> ClaimAnswered:
+    kept = outcome if state is CallState.FINISHED else None
+    record = CallRecord("a", "k", "s", digest, "x", "e", 1, state, kept, 0.0, "n")
     return ClaimAnswered(CallFound(record))
 
 
@@ -79,6 +81,13 @@
         503,
         Execution.NOT_RUN,
     ),
+    (
+        "replay of an answer that was too long to keep",
+        [found(CallState.FINISHED, outcome=OUTCOME._replace(is_kept=False))],
+        [RefuseCaller],
+        409,
+        Execution.COMPLETED,
+    ),
     (
         "lost answer",
         [GRANTED, AnswerLost("cut"), OutcomeRecorded()],
@@ -108,6 +117,15 @@
                 assert action.status == status
                 assert action.refusal.execution is execution
 
+    def test_long_answer_is_given_but_not_kept(self) -> None:
+        controller = CallController("c", "d")
+        controller.handle(GRANTED)
+        long = OUTCOME._replace(body=b"x" * 100_000)
+        (submitted,) = controller.handle(TargetAnswered(long))
+        (answered,) = controller.handle(OutcomeRecorded())
+        assert submitted == SubmitOutcome(OUTCOME._replace(body=b"", is_kept=False))
+        assert answered == AnswerCaller(long, is_replay=False)
+
 
 class CallMachine(RuleBasedStateMachine):
     """Callers repeat calls at several instances, which die at any moment.
--- a/packages/heathertack/src/heathertack/state/_records.py
+++ b/packages/heathertack/src/heathertack/state/_records.py
@@ -45,6 +45,8 @@
     status: int
     content_type: str
     body: bytes
+    #: Whether the body is kept; one that is too long is not.
+    is_kept: bool = True
 
 
 class CallRecord(NamedTuple):
