--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_experiments.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_experiments.py
@@ -7,11 +7,8 @@
 
 from heathertack.policy import AdmissionTuning
 from heathertack_fakes._engine_model import EngineSize
-from heathertack_fakes.measure._routers import (
-    ROUTERS,
-    ReservationRouter,
-    tuned,
-)
+from heathertack_fakes.measure._reservation_routers import ReservationRouter
+from heathertack_fakes.measure._routers import ROUTERS, tuned
 from heathertack_fakes.measure._simulation import Simulation
 from heathertack_fakes.measure._statistics import RunFigures
 from heathertack_fakes.measure._workloads import (
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -27,6 +27,7 @@
     LengthEstimator,
     PrefixIndex,
     QueuedItem,
+    ReservedQuantile,
     TargetLedger,
 )
 
@@ -68,8 +69,7 @@
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
         self._losses: dict[str, int] = {}
-        self._quantile = tuning.quantile
-        self._quantile_at = now
+        self._quantile = ReservedQuantile(tuning, now)
         self._waits = WaitEstimator(tuning.rate_window)
 
     @property
@@ -90,7 +90,7 @@
     @property
     def quantile(self) -> float:
         """Quantile of the remaining length that is reserved."""
-        return self._quantile
+        return self._quantile.value
 
     @property
     def targets(self) -> tuple[str, ...]:
@@ -194,7 +194,7 @@
             ledger.capacity = load.cache_capacity
         ledger.note_reported_use(load.cache_tokens, load.cache_capacity // 10)
         if previous is not None and load.preemptions > previous.preemptions:
-            self._raise_quantile(load.preemptions - previous.preemptions)
+            self._quantile.raise_for(load.preemptions - previous.preemptions)
 
     def note_target_silent(self, target: str, pause: float, now: float) -> None:
         """Avoid a target that does not report its load, for some seconds."""
@@ -227,7 +227,7 @@
         tuple of AddressedReply
             Replies to the entries.
         """
-        self._lower_quantile(now)
+        self._quantile.pass_time(now)
         limit = now - self._tuning.reservation_timeout
         for generation_id, held in tuple(self._held.items()):
             if held.heard_at < limit or held.instance not in live:
@@ -393,7 +393,7 @@
             request.class_name,
             made=made,
             limit=request.max_tokens,
-            quantile=self._quantile,
+            quantile=self._quantile.value,
         )
         return LedgerEntry(request.prompt_tokens + made, remaining)
 
@@ -444,18 +444,6 @@
         if tokens:
             self._queue.charge(held.request.account, held.request.share, tokens)
 
-    def _raise_quantile(self, preemptions: int) -> None:
-        highest = self._tuning.quantile_bounds[1]
-        raised = self._quantile + self._tuning.quantile_step * min(preemptions, 3)
-        self._quantile = min(raised, highest)
-
-    def _lower_quantile(self, now: float) -> None:
-        lowest = max(self._tuning.quantile, self._tuning.quantile_bounds[0])
-        elapsed = now - self._quantile_at
-        self._quantile_at = now
-        lowered = self._quantile - self._tuning.quantile_decay * elapsed
-        self._quantile = max(lowered, lowest)
-
 
 #: Seconds for which a target is avoided after a failure.
 _TARGET_FAILURES = {
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -5,6 +5,7 @@
 from heathertack.policy._lengths import LengthEstimator
 from heathertack.policy._prefix_index import PrefixIndex, digest_prefixes
 from heathertack.policy._rendezvous import choose_owner, group_targets
+from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
 from heathertack.policy._tuning import AdmissionTuning
 
@@ -15,6 +16,7 @@
     "LengthEstimator",
     "PrefixIndex",
     "QueuedItem",
+    "ReservedQuantile",
     "RetryBudget",
     "TargetLedger",
     "choose_owner",
