Name the leader to instances that ask another replica

Cause: a replica that does not lead answered without a name, so that an instance tried one control instance after the other, 0.4 s each: with 7 of them up to 2.4 s without a lease after each change of leaders. It now names the leader it follows; an instance follows such a hint at most once in a renewal interval, since replicas may name each other meanwhile.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -39,6 +39,8 @@
 
     is_leader: bool = False
     term: int = 0
+    #: Instance that leads, as far as this replica knows.
+    leader: str = ""
     #: Leader lease, monotonic clock, seconds.
     lease_until: float = float("-inf")
     #: Number of this leadership for orders to targets.
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -179,6 +179,7 @@
         view = ControlView(
             is_leader=replica.has_lease(now),
             term=replica.term,
+            leader=instance_of(replica.leader),
             lease_until=replica.lease_expiry(now),
             fencing_number=replica.fencing_number,
             bundle_index=bundle.log_index if bundle is not None else 0,
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -148,7 +148,7 @@
             self._archive.store(event.accepted)
             self._committed_at = now
         if not control.may_lead(now):
-            return self._decline(event)
+            return _decline(event, control)
         self._follow_term(control.term, now)
         self._follow_suspects(control)
         match event:
@@ -176,11 +176,6 @@
         self._sequence += 1
         return self._sequence
 
-    def _decline(self, event: Event) -> tuple[Action, ...]:
-        if isinstance(event, LeaseRequested):
-            return (SendToPeer(event.request.instance, LeaderHint("")),)
-        return ()
-
     def _follow_term(self, term: int, now: float) -> None:
         """Start with empty tables when this instance leads a new term."""
         if term == self._term:
@@ -314,6 +309,13 @@
         return (ConfirmBundleInForce(index),)
 
 
+def _decline(event: Event, control: ControlView) -> tuple[Action, ...]:
+    """Name the leader to an instance that asked somebody else."""
+    if isinstance(event, LeaseRequested):
+        return (SendToPeer(event.request.instance, LeaderHint(control.leader)),)
+    return ()
+
+
 def _describe_member(request: LeaseRequest, control: ControlView) -> MemberRecord:
     is_leaving = request.leaving or request.instance in control.draining
     return MemberRecord(
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -104,6 +104,7 @@
         self._table = TableVersion()
         self._next_request = float("-inf")
         self._unanswered_since: float | None = None
+        self._redirected_at = float("-inf")
         board.register(self)
 
     @property
@@ -166,12 +167,20 @@
         self._candidate = (self._candidate + 1) % max(len(self._control_instances), 1)
 
     def _follow_hint(self, hint: LeaderHint, now: float) -> tuple[SendToPeer, ...]:
-        if hint.leader in self._control_instances:
-            self._leader = hint.leader
-            return self._request(now)
-        self._choose_next_candidate()
+        """Ask the named leader at once, though not again and again.
+
+        Replicas may name each other while none of them leads.
+        """
+        is_new = hint.leader in self._control_instances and hint.leader != self._leader
         self._unanswered_since = None
-        return ()
+        if not is_new:
+            self._choose_next_candidate()
+            return ()
+        self._leader = hint.leader
+        if now - self._redirected_at < self._timings.renewal:
+            return ()
+        self._redirected_at = now
+        return self._request(now)
 
     def _take_grant(self, grant: LeaseGrant, now: float) -> tuple[SendToPeer, ...]:
         current = self._board.read(BUNDLE)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -26,6 +26,7 @@
     BundleCommitted,
     ConfirmBundleInForce,
     GrantReceived,
+    HintReceived,
     InstanceIdentity,
     LeaseDue,
     LeaseGrantorController,
@@ -38,6 +39,7 @@
     TimePassed,
 )
 from heathertack.messages import (
+    LeaderHint,
     LeaseGrant,
     LeaseRequest,
     MemberState,
@@ -86,7 +88,7 @@
         self.grantor = LeaseGrantorController(board, name, LEASE_TIMINGS)
 
     def lead(self, term: int, until: float) -> None:
-        self.control.set(ControlView(True, term, until))
+        self.control.set(ControlView(True, term, lease_until=until))
 
 
 class Holder:
@@ -240,6 +242,30 @@
 TestBundleLeasesUnderFaults = LeaseMachine.TestCase
 
 
+class TestLeaseHolder:
+    def receiver(self, holder: Holder, hint: str, now: float) -> list[str]:
+        actions = holder.controller.handle(HintReceived(LeaderHint(hint)), now)
+        return [action.instance for action in actions]
+
+    def test_follows_a_hint_at_once(self) -> None:
+        holder = Holder("e1", 1, ("p", "q", "r"))
+        holder.controller.handle(LeaseDue(), 0.0)
+        assert self.receiver(holder, "r", 0.01) == ["r"]
+
+    def test_does_not_run_between_replicas_that_name_each_other(self) -> None:
+        holder = Holder("e1", 1, ("p", "q"))
+        holder.controller.handle(LeaseDue(), 0.0)
+        asked = [self.receiver(holder, "qp"[i % 2], i / 100) for i in range(20)]
+        assert sum(len(instances) for instances in asked) == 1
+
+    def test_asks_the_next_one_without_a_hint(self) -> None:
+        holder = Holder("e1", 1, ("p", "q"))
+        holder.controller.handle(LeaseDue(), 0.0)
+        assert self.receiver(holder, "", 0.01) == []
+        (request,) = holder.controller.handle(LeaseDue(), 0.5)
+        assert request.instance == "q"
+
+
 class TestLeaseGrantor:
     @staticmethod
     def request(
@@ -312,7 +338,7 @@
         suspects = (("f", 1),)
         sent: list[object] = []
         for step, known in ((0, ()), (3, suspects), (6, suspects)):
-            view = ControlView(True, 1, 100.0, suspects=known)
+            view = ControlView(True, 1, lease_until=100.0, suspects=known)
             leader.control.set(view)
             (request,) = holder.controller.handle(LeaseDue(), float(step))
             assert isinstance(request.message, LeaseRequest)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_orders.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_orders.py
@@ -59,7 +59,7 @@
         self.orders = OrderController(self.board)
 
     def lead(self, term: int, number: int, until: float = 1e9) -> None:
-        view = ControlView(True, term, until, number)
+        view = ControlView(True, term, lease_until=until, fencing_number=number)
         self.board.write(self, CONTROL, view)
 
     def publish(self) -> None:
