Test the wait for every holder and late grants directly

The lease machine passed without the wait for holders and with grants of older leaders, since its short schedules seldom hold a leader for longer than a lease before a bundle is committed.

--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -242,7 +242,45 @@
 TestBundleLeasesUnderFaults = LeaseMachine.TestCase
 
 
+class TestInForce:
+    def test_waits_for_a_holder_that_is_cut_off(self) -> None:
+        machine = LeaseMachine()
+        machine.start()
+        machine.run(25, renews=True)
+        machine.cut_off("e1")
+        machine.commit_bundle()
+        machine.run(5, renews=True)
+        grantor = machine.leaders["p"].grantor
+        assert machine.holders["e2"].index == 1
+        assert machine.holders["e1"].may_serve(machine.now)
+        assert grantor.in_force_index == 0
+        machine.run(20, renews=True)
+        assert grantor.in_force_index == 1
+        assert not machine.holders["e1"].may_serve(machine.now)
+
+
 class TestLeaseHolder:
+    def test_late_grant_of_an_old_leader_changes_nothing(self) -> None:
+        holder = Holder("e1", 1, ("p", "q"))
+        old, new = Leader("p"), Leader("q")
+        old.lead(1, until=100.0)
+        new.lead(2, until=100.0)
+        old.grantor.handle(PlatformListed((target(),)), 0.0)
+        (request,) = holder.controller.handle(LeaseDue(), 0.0)
+        assert isinstance(request.message, LeaseRequest)
+        asked = LeaseRequested(request.message)
+        grants = [
+            action.message
+            for leader in (new, old)
+            for action in leader.grantor.handle(asked, 0.0)
+            if isinstance(action, SendToPeer)
+        ]
+        for grant in grants:
+            assert isinstance(grant, LeaseGrant)
+            holder.controller.handle(GrantReceived(grant), 0.1)
+        assert holder.board.read(TARGETS) == {}
+        assert holder.board.read(LEASE).leader == "q"
+
     def receiver(self, holder: Holder, hint: str, now: float) -> list[str]:
         actions = holder.controller.handle(HintReceived(LeaderHint(hint)), now)
         return [action.instance for action in actions]
