Ask the next owner only for the rest of a request's patience

Found by the first tests of placement, red first: an entry asked a new owner, or the same one again, with the whole patience, so that a request could wait twice its limit; and it reported progress when a generation ended without a token.

--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -97,6 +97,8 @@
     """What the entry knows of one generation."""
 
     request: ReservationRequest
+    #: When the generation is no longer worth waiting for.
+    deadline: float
     owner: str
     #: When an owner was first asked, or last heard of.
     heard_at: float
@@ -167,7 +169,8 @@
         owner = self._find_owner(request.group)
         if owner is None:
             return self._choose_locally(request, now)
-        placement = _Placement(request, owner, now, now + _RESEND_SECONDS)
+        deadline = now + request.patience
+        placement = _Placement(request, deadline, owner, now, now + _RESEND_SECONDS)
         self._placements[request.generation_id] = placement
         return (SendToPeer(owner, request),)
 
@@ -191,7 +194,7 @@
             return (_deny(request, "no_target", 1.0, "no target is live"),)
         target = min(names, key=lambda name: (counts[name], name))
         self._placements[request.generation_id] = _Placement(
-            request, "", now, float("inf"), target
+            request, now + request.patience, "", now, float("inf"), target
         )
         return (_choose(request, target, "the admission owner did not answer"),)
 
@@ -239,7 +242,7 @@
         placement = self._placements.get(event.generation_id)
         if placement is None:
             return ()
-        is_first = placement.made == 0
+        is_first = placement.made == 0 and event.made > 0
         placement = placement._replace(made=event.made)
         self._placements[event.generation_id] = placement
         if not is_first or not placement.owner:
@@ -283,7 +286,8 @@
         self._placements[request.generation_id] = placement._replace(
             next_send=now + _RESEND_SECONDS
         )
-        return (SendToPeer(owner, request),)
+        patience = max(placement.deadline - now, 0.0)
+        return (SendToPeer(owner, request._replace(patience=patience)),)
 
     def _follow_owners(self) -> tuple[Action, ...]:
         """Announce reservations in use to owners that changed."""
