Name the very value of a bundle that is wrong, and prove that the daemon refuses it

Red first: the demo's new check of the path, and three rows of the table of messages. Now: $.services.tutor-model.kind: found Invalid enum value 'poem', expected one of generation, plain. The demo checks path, exit code 2 and that no bundle is in force.

--- a/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -250,21 +250,30 @@
             f"--key={self.key_file}",
         )
 
-    def apply_bundle(self, bundle: dict[str, Any]) -> subprocess.CompletedProcess[str]:
-        """Sign and apply a bundle."""
-        plain = self._folder / f"bundle-{bundle['version']}.jsonc"
-        signed = plain.with_suffix(".signed.json")
+    def sign_bundle(self, bundle: dict[str, Any]) -> subprocess.CompletedProcess[str]:
+        """Check and sign a bundle."""
+        plain = self._bundle_file(bundle)
         plain.write_text(json.dumps(bundle, indent=2))
-        self.run_binary(
+        return self.run_binary(
             "heathertack",
             "bundle",
             "sign",
             str(plain),
             f"--operator={self.operator.name}",
             f"--key={self.key_file}",
-            f"--output={signed}",
+            f"--output={plain.with_suffix('.signed.json')}",
         )
-        return self.operate("bundle", "apply", str(signed))
+
+    def apply_bundle(self, bundle: dict[str, Any]) -> subprocess.CompletedProcess[str]:
+        """Sign and apply a bundle."""
+        signed = self.sign_bundle(bundle)
+        if signed.returncode:
+            return signed
+        output = self._bundle_file(bundle).with_suffix(".signed.json")
+        return self.operate("bundle", "apply", str(output))
+
+    def _bundle_file(self, bundle: dict[str, Any]) -> Path:
+        return self._folder / f"bundle-{bundle['version']}.jsonc"
 
     async def wait_for_http(self) -> None:
         """Wait until every process that runs answers HTTP."""
--- a/packages/heathertack-fakes/src/heathertack_fakes/demo.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/demo.py
@@ -56,9 +56,12 @@
 async def _apply_bundles(system: LocalSystem) -> None:
     invalid = build_bundle(1)
     invalid["services"]["tutor-model"]["kind"] = "poem"
-    refused = system.apply_bundle(invalid)
-    print(f"invalid bundle refused with exit code {refused.returncode}")
-    expect(refused.returncode != 0, "an invalid bundle is refused")
+    refused = system.sign_bundle(invalid)
+    print(f"invalid bundle: {refused.stderr.strip()}")
+    expect(refused.returncode == 2, "an invalid bundle is refused")
+    expect("$.services.tutor-model.kind" in refused.stderr, "its path is named")
+    unchanged = system.operate("status")
+    expect("bundle version 0" in unchanged.stdout, "nothing changes")
     applied = system.apply_bundle(build_bundle(1))
     print(f"bundle: {applied.stdout.strip()}")
     expect(applied.returncode == 0, f"the bundle is applied: {applied.stderr}")
--- a/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -80,6 +80,35 @@
         assert isinstance(result, Failure)
         assert str(result.failure()).startswith(f"b.jsonc: {place}: ")
 
+    @pytest.mark.parametrize(
+        ("path", "value", "message"),
+        [
+            (
+                ("services", "tutor", "kind"),
+                "poem",
+                "$.services.tutor.kind: found Invalid enum value 'poem', "
+                "expected one of generation, plain",
+            ),
+            (
+                ("services", "portal", "routes"),
+                [{"method": "GET", "path": "/", "idempotent": 3}],
+                "$.services.portal.routes[0].idempotent: "
+                "found Expected `bool`, got `int`, expected bool",
+            ),
+            (
+                ("accounts", "school"),
+                {"share": 1.0},
+                "expected the fields default_class, key_sha256, max_in_progress, share",
+            ),
+        ],
+    )
+    def test_says_which_value_is_wrong_and_what_was_expected(
+        self, path: tuple[str, ...], value: Any, message: str
+    ) -> None:
+        result = parse_bundle("b.jsonc", json.dumps(change(path, value)))
+        assert isinstance(result, Failure)
+        assert message in str(result.failure())
+
     def test_refuses_two_accounts_with_one_key(self) -> None:
         bundle = copy.deepcopy(BUNDLE)
         bundle["accounts"]["other"] = bundle["accounts"]["school"]
--- a/packages/heathertack/src/heathertack/schema/_check.py
+++ b/packages/heathertack/src/heathertack/schema/_check.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from functools import cache
-from types import NoneType, UnionType
 from typing import (
     Any,
+    Literal,
     NamedTuple,
     NotRequired,
     Required,
     TypeVar,
-    Union,
     get_args,
     get_origin,
     get_type_hints,
@@ -94,57 +93,79 @@
         return Failure(unknown._replace(file=file))
     try:
         return Success(msgspec.convert(value, shape))
-    except msgspec.ValidationError as error:
-        message, _, path = str(error).partition(" - at `")
-        where = path.rstrip("`") or "$"
-        return Failure(SchemaError(file, where, message, "a valid value"))
+    except msgspec.ValidationError:
+        return Failure(_describe_invalid(shape, value, "$")._replace(file=file))
 
 
-def _find_unknown_field(shape: Any, value: object, path: str) -> SchemaError | None:
-    """Return the first field that no ``TypedDict`` of the shape declares."""
+class _Child(NamedTuple):
+    """A value within a document, with the shape that it must have."""
+
+    shape: Any
+    value: object
+    path: str
+
+
+def _children(shape: Any, value: object, path: str) -> Iterator[_Child]:
+    """Yield the values directly within a value."""
     origin = get_origin(shape)
-    if origin in (Required, NotRequired):
-        return _find_unknown_field(get_args(shape)[0], value, path)
-    if origin in (Union, UnionType):
-        return _find_in_union(get_args(shape), value, path)
     if is_typeddict(shape) and isinstance(value, Mapping):
-        return _find_in_typed_dict(shape, value, path)
-    if origin is dict and isinstance(value, Mapping):
-        inner = get_args(shape)[1]
-        items = ((inner, item, f"{path}.{key}") for key, item in value.items())
+        hints = _hints_of(shape)
+        for key, item in value.items():
+            if key in hints:
+                yield _Child(_unwrap(hints[key]), item, f"{path}.{key}")
+    elif origin is dict and isinstance(value, Mapping):
+        for key, item in value.items():
+            yield _Child(_unwrap(get_args(shape)[1]), item, f"{path}.{key}")
     elif origin in (list, tuple) and isinstance(value, list):
-        inner = get_args(shape)[0]
-        items = ((inner, item, f"{path}[{i}]") for i, item in enumerate(value))
-    else:
-        return None
-    found = (_find_unknown_field(*item) for item in items)
+        for number, item in enumerate(value):
+            yield _Child(_unwrap(get_args(shape)[0]), item, f"{path}[{number}]")
+
+
+def _find_unknown_field(shape: Any, value: object, path: str) -> SchemaError | None:
+    """Return the first field that no ``TypedDict`` of the shape declares."""
+    if is_typeddict(shape) and isinstance(value, Mapping):
+        hints = _hints_of(shape)
+        for key in value:
+            if key not in hints:
+                known = "one of " + ", ".join(sorted(hints))
+                return SchemaError("", f"{path}.{key}", f"unknown field {key!r}", known)
+    found = (_find_unknown_field(*child) for child in _children(shape, value, path))
     return next((error for error in found if error is not None), None)
 
 
+def _describe_invalid(shape: Any, value: object, path: str) -> SchemaError:
+    """Describe the innermost value that does not fit."""
+    for child in _children(shape, value, path):
+        if _find_fault(child.shape, child.value):
+            return _describe_invalid(*child)
+    fault = _find_fault(shape, value)
+    return SchemaError("", path, fault, _describe_shape(shape))
+
+
+def _find_fault(shape: Any, value: object) -> str:
+    """Return why a value does not fit a shape, empty if it does."""
+    try:
+        msgspec.convert(value, shape)
+    except msgspec.ValidationError as error:
+        return str(error).partition(" - at `")[0]
+    return ""
+
+
+def _describe_shape(shape: Any) -> str:
+    if get_origin(shape) is Literal:
+        return "one of " + ", ".join(str(option) for option in get_args(shape))
+    if is_typeddict(shape):
+        return "the fields " + ", ".join(sorted(shape.__required_keys__))
+    return str(getattr(shape, "__name__", shape))
+
+
+def _unwrap(shape: Any) -> Any:
+    """Return the shape within ``Required`` or ``NotRequired``."""
+    if get_origin(shape) in (Required, NotRequired):
+        return get_args(shape)[0]
+    return shape
+
+
 @cache
 def _hints_of(shape: Any) -> dict[str, Any]:
     return get_type_hints(shape, include_extras=True)
-
-
-def _find_in_union(
-    options: tuple[Any, ...], value: object, path: str
-) -> SchemaError | None:
-    if value is None:
-        return None
-    shapes = [option for option in options if option is not NoneType]
-    errors = [_find_unknown_field(shape, value, path) for shape in shapes]
-    return None if None in errors else errors[0]
-
-
-def _find_in_typed_dict(
-    shape: Any, value: Mapping[str, object], path: str
-) -> SchemaError | None:
-    hints = _hints_of(shape)
-    for key, item in value.items():
-        if key not in hints:
-            known = "one of " + ", ".join(sorted(hints))
-            return SchemaError("", f"{path}.{key}", f"unknown field {key!r}", known)
-        error = _find_unknown_field(hints[key], item, f"{path}.{key}")
-        if error is not None:
-            return error
-    return None
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -10,7 +10,7 @@
 import aiohttp
 import pytest
 
-from heathertack.bundle import parse_bundle, sign_bundle
+from heathertack.bundle import parse_bundle, sign_bundle, sign_text
 from heathertack.settings import LimitSettings
 from heathertack_cli import Operator, ask
 from heathertack_fakes import (
@@ -327,6 +327,35 @@
         asyncio.run(system.wait_until_ready())
         assert bundle_version(system, "entry-3") == 301
 
+    @pytest.mark.parametrize(
+        ("change", "status", "message"),
+        [
+            ({"version": 2, "colour": 1}, 400, "bundle: $.colour: "),
+            ({"version": 2, "classes": {}}, 400, "$.accounts.evening-school"),
+            ({"version": 2, "signature": "AAAA"}, 403, "not signed by a trusted"),
+        ],
+        ids=["unknown field", "unknown class", "signature"],
+    )
+    def test_invalid_bundle_changes_nothing(
+        self,
+        start_system: Start,
+        change: dict[str, Any],
+        status: int,
+        message: str,
+    ) -> None:
+        """The daemon refuses what a client should not have sent."""
+        system = start_system(SystemShape(daemons=1))
+        keys = system.operator
+        text = json.dumps({**build_bundle(1), **change})
+        signature = change.get("signature") or sign_text(text, keys.secret_key)
+        document = {"text": text, "operator": keys.name, "signature": signature}
+        operator = Operator(keys.name, keys.secret_key, entry(system), PATIENCE_SECONDS)
+        asked = ask(operator, "POST", "/operator/bundles", document)
+        answer = asyncio.run(asked).unwrap()
+        assert answer.status == status
+        assert message in answer.document["error"]["message"]
+        assert bundle_version(system, "entry-1") == 1
+
     def test_operators_who_race(self, start_system: Start) -> None:
         system = start_system(SystemShape(control=3))
 
