Skip leaves when unknown fields of a bundle are looked for

Cause: the rewritten walk visited each of 48,000 values of a bundle with 12,000 accounts: 249 ms beside a running test suite. Only maps and lists are visited now.

--- a/packages/heathertack/src/heathertack/schema/_check.py
+++ b/packages/heathertack/src/heathertack/schema/_check.py
@@ -129,8 +129,12 @@
             if key not in hints:
                 known = "one of " + ", ".join(sorted(hints))
                 return SchemaError("", f"{path}.{key}", f"unknown field {key!r}", known)
-    found = (_find_unknown_field(*child) for child in _children(shape, value, path))
-    return next((error for error in found if error is not None), None)
+    for child in _children(shape, value, path):
+        if isinstance(child.value, (Mapping, list)):
+            error = _find_unknown_field(*child)
+            if error is not None:
+                return error
+    return None
 
 
 def _describe_invalid(shape: Any, value: object, path: str) -> SchemaError:
