--- a/packages/heathertack/src/heathertack/controllers/_addresses.py
+++ b/packages/heathertack/src/heathertack/controllers/_addresses.py
@@ -55,16 +55,17 @@
     Returns
     -------
     AddressAnswer
-        At most four addresses; none of an instance that is leaving.
+        At most four addresses; none of an instance that is leaving, or that
+        started so recently that it has no bundle yet.
     """
     members = board.read(MEMBERS).values()
-    alive = [member for member in members if member.state is MemberState.ALIVE]
+    able = [m for m in members if m.state is MemberState.ALIVE and m.bundle_index]
 
     def rank(member: MemberRecord) -> tuple[bool, int, float]:
         is_elsewhere = bool(failure_domain) and member.failure_domain != failure_domain
         return (is_elsewhere, member.load, random.random())
 
-    chosen = sorted(alive, key=rank)[:_MOST_ADDRESSES]
+    chosen = sorted(able, key=rank)[:_MOST_ADDRESSES]
     addresses = tuple(
         AddressChoice(member.http_address, member.failure_domain) for member in chosen
     )
--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -1,3 +1,4 @@
+import random
 from typing import ClassVar
 
 import pytest
@@ -37,12 +38,14 @@
     ProposeCommand,
     SendToPeer,
     TimePassed,
+    choose_addresses,
 )
 from heathertack.messages import (
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
     MemberState,
+    TableVersion,
     TargetRecord,
     TargetState,
 )
@@ -304,6 +307,49 @@
         assert request.instance == "q"
 
 
+class TestRestartedInstance:
+    """A restarted process asks for its lease before it has any bundle."""
+
+    def offered(self, requests: tuple[LeaseRequest, ...]) -> set[str]:
+        """Return the addresses that another instance offers after the requests."""
+        leader = Leader("a")
+        leader.lead(1, 100.0)
+        leader.grantor.handle(BundleCommitted(accepted(1)), 0.0)
+        other = Holder("b", 1, ("a",))
+        for request in requests:
+            leader.grantor.handle(LeaseRequested(request), 3.0)
+        for asked in other.controller.handle(LeaseDue(), 3.0):
+            assert isinstance(asked.message, LeaseRequest)
+            for sent in leader.grantor.handle(LeaseRequested(asked.message), 3.0):
+                if isinstance(sent, SendToPeer) and sent.instance == "b":
+                    assert isinstance(sent.message, LeaseGrant)
+                    other.controller.handle(GrantReceived(sent.message), 3.0)
+        answer = choose_addresses(other.board, "", 1.0, random.Random(1))
+        return {choice.address for choice in answer.addresses}
+
+    def test_is_not_offered_before_it_has_a_bundle(self) -> None:
+        request = lease_request("c", bundle_index=0)
+        assert request.http_address not in self.offered((request,))
+
+    def test_is_offered_once_it_has_one(self) -> None:
+        requests = tuple(lease_request("c", bundle_index=n) for n in (0, 1))
+        assert requests[0].http_address in self.offered(requests)
+
+
+def lease_request(instance: str, bundle_index: int) -> LeaseRequest:
+    return LeaseRequest(
+        instance,
+        7,
+        "127.0.0.3:1",
+        "nairobi-a",
+        False,
+        0,
+        bundle_index,
+        TableVersion(),
+        3.0,
+    )
+
+
 class TestLeaseGrantor:
     @staticmethod
     def request(
