--- a/Makefile
+++ b/Makefile
@@ -2,29 +2,29 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
-SOURCES := $(wildcard packages/*/pyproject.toml) constraints.txt
+SOURCES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml constraints.txt
 
 .PHONY: test demo prove measure bench format
 
 $(VENV)/.installed: $(SOURCES)
 	$(PYTHON) -m venv $(VENV)
 	PIP_CONSTRAINT=$(CURDIR)/constraints.txt $(BIN)/pip install --quiet --disable-pip-version-check \
-		$(foreach package,$(PACKAGES),-e packages/$(package)) \
+		$(foreach package,$(PACKAGES),-e packages/$(package)) -e platform \
 		hypothesis mypy pytest pytest-asyncio ruff types-docopt
 	touch $@
 
 test: $(VENV)/.installed
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
-	$(BIN)/mypy packages/*/src
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
+	$(BIN)/mypy packages/*/src platform/src
 	$(BIN)/python -m pytest
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.demo --bin $(BIN)
 
 format: $(VENV)/.installed
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform
 
 measure: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.measure
--- a/packages/heathertack-fakes/src/heathertack_fakes/bench/_control.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/bench/_control.py
@@ -56,7 +56,7 @@
 def _commit_groups(folder: Path, size: int) -> tuple[float, float]:
     disk = FolderDisk(folder)
     identity = StorageIdentity("bench", "a", "s")
-    format_folder(disk, identity, forms_cluster=True)
+    format_folder(disk, identity, initial_voters=(identity.replica,))
     opened = open_storage(disk).unwrap()
     replica = Replica(
         identity.replica, opened.durable, ReplicaTimings(), random.Random(1), 0.0
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_reservation_routers.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_reservation_routers.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from heathertack.controllers import AdmissionGroup, EngineLoad
+from heathertack.controllers import AdmissionGroup, EngineLoad, TargetCapacity
 from heathertack.messages import (
     ReservationAnnounce,
     ReservationGrant,
@@ -138,7 +138,10 @@
     def _set_targets(self, group: AdmissionGroup) -> None:
         alive = self._simulation.alive
         group.set_targets(
-            {f"e{engine}": _capacity(self._simulation) for engine in alive}
+            {
+                f"e{engine}": TargetCapacity(_capacity(self._simulation))
+                for engine in alive
+            }
         )
 
     def _is_placed(self, arrival: Arrival) -> bool:
--- a/packages/heathertack/src/heathertack/blackboard/_board.py
+++ b/packages/heathertack/src/heathertack/blackboard/_board.py
@@ -61,6 +61,12 @@
                 message = f"section {section.name} already has a writer"
                 raise BlackboardError(message)
 
+    def release(self, user: SectionUser) -> None:
+        """Let another controller become the writer of a controller's sections."""
+        for section in user.WRITES:
+            if self._writers.get(section) is user:
+                del self._writers[section]
+
     def read(self, section: Section[Content]) -> Content:
         """Return the content of a section."""
         return cast(Content, self._contents.get(section, section.initial))
--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -9,6 +9,7 @@
 from heathertack.blackboard._board import Section
 from heathertack.bundle import Bundle
 from heathertack.messages import MemberRecord, TargetRecord
+from heathertack.routing import RouteTable
 
 
 class BundleView(NamedTuple):
@@ -19,6 +20,8 @@
     bundle: Bundle | None = None
     #: Client accounts by the SHA-256 of their caller key.
     accounts: Mapping[str, str] = MappingProxyType({})
+    #: Routes of forwarded requests.
+    routes: RouteTable = RouteTable({})
 
 
 class LeaseView(NamedTuple):
--- a/packages/heathertack/src/heathertack/bundle/__init__.py
+++ b/packages/heathertack/src/heathertack/bundle/__init__.py
@@ -15,11 +15,14 @@
 from heathertack.bundle._model import (
     AccountConfiguration,
     Bundle,
+    EngineConfiguration,
+    ForwardingRoute,
     PlainRoute,
+    RequestLimits,
     ServiceConfiguration,
 )
-from heathertack.bundle._parse import BundleError, parse_bundle
-from heathertack.bundle._queries import find_route, index_accounts
+from heathertack.bundle._parse import BundleError, check_bundle, parse_bundle
+from heathertack.bundle._queries import account_keys, find_route, index_accounts
 from heathertack.bundle._signature import (
     SignedBundle,
     sign_bundle,
@@ -33,11 +36,16 @@
     "Bundle",
     "BundleChange",
     "BundleError",
+    "EngineConfiguration",
+    "ForwardingRoute",
     "PlainRoute",
+    "RequestLimits",
     "ServiceConfiguration",
     "SignedBundle",
+    "account_keys",
     "apply_changes",
     "canonical_text",
+    "check_bundle",
     "compare_bundles",
     "digest_content",
     "find_route",
--- a/packages/heathertack/src/heathertack/bundle/_model.py
+++ b/packages/heathertack/src/heathertack/bundle/_model.py
@@ -16,11 +16,68 @@
     key_required: NotRequired[bool]
 
 
+class ForwardingRoute(TypedDict):
+    """Where requests for one host and path prefix are forwarded unchanged."""
+
+    #: Host of the request, lower case and without a port.
+    host: str
+    #: Beginning of the path; starts and ends with a slash.
+    path_prefix: str
+    #: Whether a request may run again, and whether its answer is a stream that
+    #: may be resumed.
+    kind: Literal["idempotent", "not_repeatable", "streaming", "resumable"]
+    #: Weights of the services among which the requests are divided.
+    services: dict[str, int]
+    #: Longest time that a request may take, seconds.
+    timeout: float
+    #: Time within which an answer, or the first event, is of full use, seconds.
+    latency_objective: NotRequired[float]
+    #: Longest pause between two events of an on-time stream, seconds.
+    gap_objective: NotRequired[float]
+    #: The higher one goes first.
+    priority: int
+    #: Most targets that one request may be sent to.
+    max_attempts: int
+    #: Whether requests need no caller key.
+    public: NotRequired[bool]
+
+
+class EngineConfiguration(TypedDict):
+    """What the model engines of a forwarding service can do."""
+
+    #: Generations that run at one time.
+    slots: int
+    #: Tokens that the cache holds.
+    cache_tokens: int
+    #: Tokens in one event of a stream.
+    event_tokens: NotRequired[int]
+    #: Whether a copy of a generation's memory can be kept at a second engine.
+    backups: NotRequired[bool]
+    #: Whether the memory of a generation can be moved to another engine.
+    moves: NotRequired[bool]
+
+
+class RequestLimits(TypedDict):
+    """What callers may send, and how long they may take."""
+
+    #: Largest request header, bytes.
+    max_header_bytes: int
+    #: Largest request body, bytes.
+    max_body_bytes: int
+    #: Longest time for the header of a request, seconds.
+    header_timeout: float
+    #: Longest time that a connection may be idle, seconds.
+    idle_timeout: float
+
+
 class ServiceConfiguration(TypedDict):
     """One service that callers may name."""
 
-    #: Whether its targets are model engines or plain services.
-    kind: Literal["generation", "plain"]
+    #: Whether its targets are model engines or plain services that callers name,
+    #: or get what the bundle's routes forward to them.
+    kind: Literal["generation", "plain", "forwarding"]
+    #: What the engines of a forwarding service can do; absent for plain targets.
+    engine: NotRequired[EngineConfiguration]
     #: Model that the engines serve.
     model: NotRequired[str]
     #: Version of the model.
@@ -48,6 +105,10 @@
 
     #: SHA-256 of the caller key, hexadecimal.
     key_sha256: str
+    #: The same for further keys of the account.
+    more_keys_sha256: NotRequired[list[str]]
+    #: Replaces the priority of a route; the higher one goes first.
+    priority: NotRequired[int]
     #: Weight in the fair division of tokens.
     share: float
     #: Most requests of the account in progress on one instance.
@@ -67,3 +128,7 @@
     classes: dict[str, int]
     #: Client accounts by name.
     accounts: dict[str, AccountConfiguration]
+    #: Routes of forwarding services by name.
+    routes: NotRequired[dict[str, ForwardingRoute]]
+    #: Bounds of forwarded requests.
+    limits: NotRequired[RequestLimits]
--- a/packages/heathertack/src/heathertack/bundle/_parse.py
+++ b/packages/heathertack/src/heathertack/bundle/_parse.py
@@ -6,7 +6,12 @@
 
 from returns.result import Failure, Result, Success
 
-from heathertack.bundle._model import Bundle, ServiceConfiguration
+from heathertack.bundle._model import (
+    AccountConfiguration,
+    Bundle,
+    ForwardingRoute,
+    ServiceConfiguration,
+)
 from heathertack.schema import SchemaError, convert_document, parse_document
 
 #: A bundle that can't be used.
@@ -32,10 +37,11 @@
     """
     parsed = parse_document(file, text)
     typed = parsed.bind(lambda value: convert_document(file, value, Bundle))
-    return typed.bind(lambda bundle: _check_values(file, bundle))
+    return typed.bind(lambda bundle: check_bundle(file, bundle))
 
 
-def _check_values(file: str, bundle: Bundle) -> Result[Bundle, BundleError]:
+def check_bundle(file: str, bundle: Bundle) -> Result[Bundle, BundleError]:
+    """Check the values of a bundle whose fields have the right types."""
     error = next(_find_errors(bundle), None)
     if error is not None:
         return Failure(error._replace(file=file))
@@ -50,13 +56,13 @@
     digests: set[str] = set()
     for name, account in bundle["accounts"].items():
         path = f"$.accounts.{name}"
-        digest = account["key_sha256"]
-        if len(digest) != _SHA256_HEX_LENGTH:
-            expected = f"{_SHA256_HEX_LENGTH} hexadecimal digits"
-            yield _error(f"{path}.key_sha256", digest, expected)
-        if digest in digests:
-            yield _error(f"{path}.key_sha256", digest, "a key of no other account")
-        digests.add(digest)
+        for key_path, digest in _list_keys(path, account):
+            if len(digest) != _SHA256_HEX_LENGTH:
+                expected = f"{_SHA256_HEX_LENGTH} hexadecimal digits"
+                yield _error(key_path, digest, expected)
+            if digest in digests:
+                yield _error(key_path, digest, "a key of no other account")
+            digests.add(digest)
         if account["share"] <= 0:
             yield _error(f"{path}.share", str(account["share"]), "a positive number")
         if account["max_in_progress"] < 1:
@@ -65,6 +71,45 @@
         if account["default_class"] not in bundle["classes"]:
             expected = "one of " + ", ".join(sorted(bundle["classes"]))
             yield _error(f"{path}.default_class", account["default_class"], expected)
+    yield from _find_route_errors(bundle)
+
+
+def _list_keys(path: str, account: AccountConfiguration) -> Iterator[tuple[str, str]]:
+    yield f"{path}.key_sha256", account["key_sha256"]
+    for number, digest in enumerate(account.get("more_keys_sha256", [])):
+        yield f"{path}.more_keys_sha256[{number}]", digest
+
+
+def _find_route_errors(bundle: Bundle) -> Iterator[BundleError]:
+    places: dict[tuple[str, str], str] = {}
+    for name, route in bundle.get("routes", {}).items():
+        path = f"$.routes.{name}"
+        prefix = route["path_prefix"]
+        if not (prefix.startswith("/") and prefix.endswith("/")):
+            expected = "a path that starts and ends with /"
+            yield _error(f"{path}.path_prefix", prefix, expected)
+        first = places.setdefault((route["host"], prefix), name)
+        if first != name:
+            expected = f"another place than that of route {first}"
+            yield _error(path, f"{route['host']}{prefix}", expected)
+        if route["timeout"] <= 0:
+            found = str(route["timeout"])
+            yield _error(f"{path}.timeout", found, "a positive number of seconds")
+        yield from _find_split_errors(path, route, bundle)
+
+
+def _find_split_errors(
+    path: str, route: ForwardingRoute, bundle: Bundle
+) -> Iterator[BundleError]:
+    weights = route["services"]
+    if any(weight < 0 for weight in weights.values()) or not sum(weights.values()):
+        found = str(sorted(weights.items()))
+        yield _error(f"{path}.services", found, "weights with a positive sum")
+    for service in weights:
+        known = bundle["services"].get(service)
+        if known is None or known["kind"] != "forwarding":
+            where = f"{path}.services.{service}"
+            yield _error(where, service, "the name of a forwarding service")
 
 
 def _find_service_errors(
--- a/packages/heathertack/src/heathertack/bundle/_queries.py
+++ b/packages/heathertack/src/heathertack/bundle/_queries.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
-from heathertack.bundle._model import Bundle, PlainRoute, ServiceConfiguration
+from heathertack.bundle._model import (
+    AccountConfiguration,
+    Bundle,
+    PlainRoute,
+    ServiceConfiguration,
+)
 
 
 def index_accounts(bundle: Bundle) -> dict[str, str]:
-    """Return the names of client accounts by the SHA-256 of their caller key."""
+    """Return the names of client accounts by the SHA-256 of their caller keys."""
     accounts = bundle["accounts"].items()
-    return {account["key_sha256"]: name for name, account in accounts}
+    return {key: name for name, account in accounts for key in account_keys(account)}
+
+
+def account_keys(account: AccountConfiguration) -> tuple[str, ...]:
+    """Return the SHA-256 of every caller key of a client account."""
+    return (account["key_sha256"], *account.get("more_keys_sha256", ()))
 
 
 def find_route(
--- a/packages/heathertack/src/heathertack/bundle/_signature.py
+++ b/packages/heathertack/src/heathertack/bundle/_signature.py
@@ -25,6 +25,8 @@
     operator: str
     #: Ed25519 signature of the text, base64.
     signature: str
+    #: What the operator sent, where that is not the canonical JSON.
+    original: str = ""
 
 
 def sign_text(text: str, secret_key: str) -> str:
--- a/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -59,6 +59,39 @@
 ]
 
 
+ROUTE: dict[str, Any] = {
+    "host": "a.example",
+    "path_prefix": "/x/",
+    "kind": "idempotent",
+    "services": {"front": 1},
+    "timeout": 2.0,
+    "priority": 0,
+    "max_attempts": 1,
+}
+
+INVALID_ROUTES = [
+    ({"path_prefix": "/x"}, "$.routes.second.path_prefix"),
+    ({"path_prefix": "/x/"}, "$.routes.second"),
+    ({"services": {"front": 0}}, "$.routes.second.services"),
+    ({"services": {}}, "$.routes.second.services"),
+    ({"services": {"front": 2, "front-2": -1}}, "$.routes.second.services"),
+    ({"services": {"nobody": 1}}, "$.routes.second.services.nobody"),
+    ({"services": {"tutor": 1}}, "$.routes.second.services.tutor"),
+    ({"timeout": 0.0}, "$.routes.second.timeout"),
+    ({"kind": "sometimes"}, "$.routes.second.kind"),
+]
+
+
+def with_routes(**second: Any) -> dict[str, Any]:
+    bundle = copy.deepcopy(BUNDLE)
+    bundle["services"]["front"] = {"kind": "forwarding"}
+    bundle["routes"] = {
+        "first": ROUTE,
+        "second": {**ROUTE, "path_prefix": "/y/", **second},
+    }
+    return bundle
+
+
 def change(path: tuple[str, ...], value: Any) -> dict[str, Any]:
     bundle = copy.deepcopy(BUNDLE)
     node = bundle
@@ -72,6 +105,25 @@
     def test_accepts_a_whole_bundle(self) -> None:
         assert isinstance(parse_bundle("b", json.dumps(BUNDLE)), Success)
 
+    def test_accepts_routes_of_forwarding_services(self) -> None:
+        assert isinstance(parse_bundle("b", json.dumps(with_routes())), Success)
+
+    @pytest.mark.parametrize(("second", "place"), INVALID_ROUTES)
+    def test_names_the_wrong_value_of_a_route(
+        self, second: dict[str, Any], place: str
+    ) -> None:
+        result = parse_bundle("b.jsonc", json.dumps(with_routes(**second)))
+        assert isinstance(result, Failure)
+        assert str(result.failure()).startswith(f"b.jsonc: {place}")
+
+    def test_refuses_one_key_for_two_accounts(self) -> None:
+        bundle = copy.deepcopy(BUNDLE)
+        school = bundle["accounts"]["school"]
+        other = {**school, "key_sha256": "b" * 64, "more_keys_sha256": ["a" * 64]}
+        bundle["accounts"]["club"] = other
+        result = parse_bundle("b", json.dumps(bundle))
+        assert "$.accounts.club.more_keys_sha256[0]" in str(result.failure())
+
     @pytest.mark.parametrize(("path", "value", "place"), INVALID)
     def test_names_the_first_wrong_value(
         self, path: tuple[str, ...], value: Any, place: str
--- a/packages/heathertack/src/heathertack/consensus/_replica.py
+++ b/packages/heathertack/src/heathertack/consensus/_replica.py
@@ -218,6 +218,24 @@
             return Failure(ProposalError.LAST_VOTER), ()
         return self._change(Membership(voters, learners), now)
 
+    def demote_voter(
+        self, replica: str, now: float
+    ) -> tuple[Result[None, ProposalError], tuple[Effect, ...]]:
+        """Make a voter a learner; it votes again once it has caught up."""
+        membership = self._core.membership
+        if replica not in membership.voters:
+            return Failure(ProposalError.UNKNOWN_REPLICA), ()
+        voters = tuple(v for v in membership.voters if v != replica)
+        if not voters:
+            return Failure(ProposalError.LAST_VOTER), ()
+        return self._change(Membership(voters, (*membership.learners, replica)), now)
+
+    def find_silent_voters(self, now: float, silence: float) -> tuple[str, ...]:
+        """Return the voters that this leader has not heard of for a time."""
+        if self._core.role is not Role.LEADER:
+            return ()
+        return self._replication.find_silent_voters(now, silence)
+
     def take_snapshot(self, index: int, data: bytes) -> tuple[Effect, ...]:
         """Compact the log up to an applied index."""
         self._replication.take_snapshot(index, data)
--- a/packages/heathertack/src/heathertack/consensus/_replication.py
+++ b/packages/heathertack/src/heathertack/consensus/_replication.py
@@ -123,6 +123,18 @@
         heard = [v for v in voters if v == core.name or self._find(v).heard_at > limit]
         return len(heard) >= core.membership.quorum
 
+    def find_silent_voters(self, now: float, silence: float) -> tuple[str, ...]:
+        """Return the voters that have not answered this leader for a time."""
+        core = self._core
+        limit = now - silence
+        if self._led_since > limit:
+            return ()
+        return tuple(
+            voter
+            for voter in core.membership.voters
+            if voter != core.name and self._find(voter).heard_at <= limit
+        )
+
     def handle_append(self, request: AppendRequest, now: float) -> None:
         """Store entries of the leader."""
         core = self._core
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -31,6 +31,7 @@
 )
 from heathertack.controllers._admission_types import (
     EngineLoad,
+    TargetCapacity,
 )
 from heathertack.controllers._call import (
     AnswerCaller,
@@ -49,6 +50,7 @@
     TargetUnreached,
 )
 from heathertack.controllers._control_log import (
+    Action as ControlLogAction,
     ControlLogController,
     instance_of,
 )
@@ -56,6 +58,7 @@
     ChangeReplicas,
     CommandSubmitted,
     ConsensusReceived,
+    Event as ControlLogEvent,
     JoinReceived,
     ProposalsDue,
     ReplicaOperation,
@@ -117,10 +120,12 @@
     InstanceIdentity,
     LeaseDue,
     LeaseHolderController,
+    LeaseWanted,
 )
 from heathertack.controllers._lease_timings import (
     LEASE_TIMINGS,
     LeaseTimings,
+    derive_lease_timings,
 )
 from heathertack.controllers._orders import (
     Action as OrderAction,
@@ -179,7 +184,9 @@
     "CompleteAnswer",
     "ConfirmBundleInForce",
     "ConsensusReceived",
+    "ControlLogAction",
     "ControlLogController",
+    "ControlLogEvent",
     "CountDrop",
     "DeliverTokens",
     "DiscardDelivered",
@@ -207,6 +214,7 @@
     "LeaseHolderController",
     "LeaseRequested",
     "LeaseTimings",
+    "LeaseWanted",
     "LeavingReported",
     "LeavingStarted",
     "LinkClosed",
@@ -252,6 +260,7 @@
     "StreamGapsSeen",
     "SubmitOutcome",
     "TargetAnswered",
+    "TargetCapacity",
     "TargetChosen",
     "TargetFailed",
     "TargetFreed",
@@ -264,6 +273,7 @@
     "TokensMade",
     "WeightsReported",
     "choose_addresses",
+    "derive_lease_timings",
     "divide_targets",
     "find_usable_targets",
     "instance_of",
--- a/packages/heathertack/src/heathertack/controllers/_addresses.py
+++ b/packages/heathertack/src/heathertack/controllers/_addresses.py
@@ -34,7 +34,12 @@
 
 
 def choose_addresses(
-    board: Blackboard, failure_domain: str, ttl: float, random: ShuffleSource
+    board: Blackboard,
+    failure_domain: str,
+    ttl: float,
+    random: ShuffleSource,
+    *,
+    enough_near: int = _MOST_ADDRESSES,
 ) -> AddressAnswer:
     """Choose addresses for a caller.
 
@@ -51,6 +56,9 @@
         How long the answer may be kept, seconds.
     random : ShuffleSource
         Breaks ties.
+    enough_near : int
+        Number of instances in the caller's failure domain from which on no other
+        ones are named.
 
     Returns
     -------
@@ -65,7 +73,9 @@
         is_elsewhere = bool(failure_domain) and member.failure_domain != failure_domain
         return (is_elsewhere, member.load, random.random())
 
-    chosen = sorted(able, key=rank)[:_MOST_ADDRESSES]
+    near = [member for member in able if member.failure_domain == failure_domain]
+    named = near if len(near) >= enough_near else able
+    chosen = sorted(named, key=rank)[:_MOST_ADDRESSES]
     addresses = tuple(
         AddressChoice(member.http_address, member.failure_domain) for member in chosen
     )
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -14,7 +14,11 @@
 )
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission_group import AdmissionGroup
-from heathertack.controllers._admission_types import AddressedReply, EngineLoad
+from heathertack.controllers._admission_types import (
+    AddressedReply,
+    EngineLoad,
+    TargetCapacity,
+)
 from heathertack.messages import (
     MemberState,
     ReservationAnnounce,
@@ -279,7 +283,7 @@
     def _set_targets(self, group: AdmissionGroup) -> None:
         targets = self._board.read(TARGETS)
         capacities = {
-            name: targets[name].cache_tokens
+            name: TargetCapacity(targets[name].cache_tokens, targets[name].slots)
             for name, owner_group in self._group_of_target.items()
             if owner_group == group.name and targets[name].state is TargetState.LIVE
         }
@@ -287,10 +291,14 @@
 
 
 def divide_targets(targets: Mapping[str, TargetRecord]) -> dict[str, tuple[str, ...]]:
-    """Return the engines that are not gone, by the name of their group."""
+    """Return the targets that are not gone, by the name of their group.
+
+    A plain target whose slots are not known is chosen without an owner.
+    """
     by_service: dict[str, list[str]] = {}
     for target in targets.values():
-        if target.state is not TargetState.GONE and target.cache_tokens:
+        is_counted = target.cache_tokens or target.slots
+        if target.state is not TargetState.GONE and is_counted:
             by_service.setdefault(target.service, []).append(target.name)
     groups: dict[str, tuple[str, ...]] = {}
     for service, names in by_service.items():
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -8,6 +8,7 @@
     AddressedReply,
     EngineLoad,
     HeldReservation,
+    TargetCapacity,
     WaitingRequest,
 )
 from heathertack.controllers._wait_estimator import WaitEstimator
@@ -66,6 +67,7 @@
         self._prefixes: dict[str, PrefixIndex] = {}
         self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
+        self._slots: dict[str, int] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
         self._losses: dict[str, int] = {}
@@ -97,20 +99,22 @@
         """Targets that take new work."""
         return tuple(sorted(self._usable))
 
-    def set_targets(self, capacities: Mapping[str, int]) -> None:
-        """Set the targets that take new work, with the size of their caches."""
+    def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
+        """Set the targets that take new work, with what they can hold."""
         self._usable = frozenset(capacities)
         for target, capacity in capacities.items():
+            self._slots[target] = capacity.slots or self._tuning.batch_limit
             ledger = self._ledgers.get(target)
             if ledger is None:
-                self._ledgers[target] = TargetLedger(capacity)
+                self._ledgers[target] = TargetLedger(capacity.cache_tokens)
                 self._prefixes[target] = PrefixIndex()
             else:
-                ledger.capacity = capacity
+                ledger.capacity = capacity.cache_tokens
         for target in tuple(self._ledgers):
             if target not in self._usable and not self._ledgers[target].count:
                 del self._ledgers[target]
                 del self._prefixes[target]
+                del self._slots[target]
 
     def request(
         self, request: ReservationRequest, instance: str, losses: int, now: float
@@ -118,7 +122,7 @@
         """Queue a request, or repeat the answer to an earlier copy of it."""
         held = self._held.get(request.generation_id)
         if held is not None and held.request.attempt == request.attempt:
-            grant = _grant(held.request, held.target, "repeated")
+            grant = _grant(held.request, held.target, "repeated", held.backup)
             return (AddressedReply(instance, grant),)
         if held is not None:
             self._drop(request.generation_id)
@@ -128,6 +132,9 @@
             reason = f"{losses} targets were lost to this request"
             return (self._refuse(request, instance, "quarantined", longest, reason),)
         queued = self._queue.remove(request.generation_id)
+        if request.preferred in self._usable:
+            waiting = WaitingRequest(request, instance, now, now, losses)
+            return (self._place(waiting, request.preferred, now),)
         if queued is None:
             refusal = self._refuse_early(request, instance, now)
             if refusal is not None:
@@ -152,7 +159,14 @@
         """Take over a reservation that another owner granted."""
         request = announce.request
         self._queue.remove(request.generation_id)
-        self._hold(request, instance, announce.target, announce.made, now)
+        self._hold(
+            request,
+            instance,
+            announce.target,
+            announce.made,
+            now,
+            backup=announce.backup,
+        )
 
     def note_progress(self, generation_id: str, made: int, now: float) -> bool:
         """Note the tokens of a generation, and tell whether it is known."""
@@ -160,7 +174,9 @@
         if held is None:
             return generation_id in self._queue
         self._charge(held, made)
-        self._hold(held.request, held.instance, held.target, made, now)
+        self._hold(
+            held.request, held.instance, held.target, made, now, backup=held.backup
+        )
         return True
 
     def release(self, release: ReservationRelease, now: float) -> None:
@@ -367,13 +383,15 @@
         """Return the load of a target with a request added, ``None`` if it is full."""
         tuning = self._tuning
         ledger = self._ledgers[target]
+        if ledger.count >= min(tuning.batch_limit, self._slots[target]):
+            return None
+        if not ledger.capacity:
+            return ledger.count / self._slots[target]
         saved = self._prefixes[target].saved_tokens(request.prefix)
         prompt = max(request.prompt_tokens - saved, 0)
         waiting = ledger.waiting_prompt_tokens
         if waiting and waiting + prompt > tuning.prefill_budget:
             return None
-        if ledger.count >= tuning.batch_limit:
-            return None
         capacity = max(ledger.capacity, 1)
         candidate = self._predict(request, 0)
         limit = tuning.cache_limit * capacity
@@ -386,7 +404,22 @@
             return None
         return (peak - tuning.prefix_weight * saved) / capacity
 
+    def _choose_backup(self, request: ReservationRequest, target: str) -> str:
+        """Return the target with the most room for a copy, empty if none has any."""
+        entry = self._predict(request, 0)
+        rooms: list[tuple[float, str]] = []
+        for other in self._usable - {target}:
+            ledger = self._ledgers[other]
+            limit = self._tuning.backup_limit * ledger.capacity
+            peak = ledger.peak_with(entry)
+            if peak <= limit:
+                rooms.append((peak / max(ledger.capacity, 1), other))
+        return min(rooms)[1] if rooms else ""
+
     def _predict(self, request: ReservationRequest, made: int) -> LedgerEntry:
+        if request.expected_tokens > made:
+            remaining = min(request.expected_tokens, request.max_tokens) - made
+            return LedgerEntry(request.prompt_tokens + made, max(remaining, 1))
         remaining = self._estimator.predict_remaining(
             request.service,
             request.account,
@@ -403,11 +436,13 @@
         request = waiting.request
         ledger = self._ledgers[target]
         before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
-        self._hold(request, waiting.instance, target, 0, now)
+        backup = self._choose_backup(request, target) if request.wants_backup else ""
+        self._hold(request, waiting.instance, target, 0, now, backup=backup)
         self._prefixes[target].note_sent(request.prefix)
         self._queue.charge(request.account, request.share, request.prompt_tokens)
         self._waits.note_grant(now)
-        return AddressedReply(waiting.instance, _grant(request, target, before))
+        grant = _grant(request, target, before, backup)
+        return AddressedReply(waiting.instance, grant)
 
     def _hold(
         self,
@@ -416,6 +451,8 @@
         target: str,
         made: int,
         now: float,
+        *,
+        backup: str,
     ) -> None:
         key = request.generation_id
         known = self._held.get(key)
@@ -426,18 +463,24 @@
             length = made + self._predict(request, made).remaining
             until = min(made + made // _PREDICTIONS_PER_DOUBLING + 1, length)
         self._held[key] = HeldReservation(
-            request, instance, target, made, now, length, until
+            request, instance, target, made, now, length, until, backup
         )
+        entry = LedgerEntry(request.prompt_tokens + made, max(length - made, 1))
         ledger = self._ledgers.get(target)
         if ledger is not None:
-            cached = request.prompt_tokens + made
-            entry = LedgerEntry(cached, max(length - made, 1))
             ledger.reserve(key, entry, started=made > 0)
+        copies = self._ledgers.get(backup)
+        if copies is not None:
+            copies.reserve(_backup_key(key), entry, started=True)
 
     def _drop(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
-        if held is not None and held.target in self._ledgers:
+        if held is None:
+            return
+        if held.target in self._ledgers:
             self._ledgers[held.target].release(generation_id)
+        if held.backup in self._ledgers:
+            self._ledgers[held.backup].release(_backup_key(generation_id))
 
     def _charge(self, held: HeldReservation, made: int) -> None:
         tokens = max(made - held.made, 0)
@@ -453,5 +496,14 @@
 }
 
 
-def _grant(request: ReservationRequest, target: str, reason: str) -> ReservationGrant:
-    return ReservationGrant(request.generation_id, request.attempt, target, reason)
+def _grant(
+    request: ReservationRequest, target: str, reason: str, backup: str = ""
+) -> ReservationGrant:
+    return ReservationGrant(
+        request.generation_id, request.attempt, target, reason, backup
+    )
+
+
+def _backup_key(generation_id: str) -> str:
+    """Return the key under which a ledger counts the copy of a generation."""
+    return f"{generation_id}/backup"
--- a/packages/heathertack/src/heathertack/controllers/_admission_types.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_types.py
@@ -21,6 +21,15 @@
     reply: Reply
 
 
+class TargetCapacity(NamedTuple):
+    """What a target can hold."""
+
+    #: Tokens that the cache of an engine holds; 0 for a plain target.
+    cache_tokens: int
+    #: Requests that it runs at one time; 0 where that is not known.
+    slots: int = 0
+
+
 class EngineLoad(NamedTuple):
     """Load report of an engine."""
 
@@ -60,3 +69,5 @@
     #: Predicted length, and the tokens from which on it is predicted again.
     predicted_length: int
     predicted_until: int
+    #: Target that keeps a copy of the generation's memory, empty for none.
+    backup: str = ""
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Success
 
-from heathertack.blackboard import CONTROL, Blackboard, ControlView, Section
+from heathertack.blackboard import CONTROL, LEASE, Blackboard, ControlView, Section
 from heathertack.consensus import (
     AppendEntries,
     ApplyEntries,
@@ -61,6 +61,8 @@
 _CALL_RETENTION_SECONDS = 24 * 3600.0
 _LOSS_RETENTION_SECONDS = 3600.0
 _JOIN_INTERVAL_SECONDS = 1.0
+#: Longer than the usual restart or freeze of a machine.
+_SILENT_VOTER_SECONDS = 10.0
 
 Action = SendToPeer | AnswerCommand | AnnounceBundle | AnnounceLeadership
 
@@ -90,9 +92,12 @@
         Other instances that may replicate the log.
     snapshot_entries : int
         Least number of log entries between two snapshots.
+    least_live_voters : int
+        Voters that must be heard of before a silent one is made a learner; 0 keeps
+        silent voters.
     """
 
-    READS: ClassVar[tuple[Section[Any], ...]] = ()
+    READS: ClassVar[tuple[Section[Any], ...]] = (LEASE,)
     WRITES: ClassVar[tuple[Section[Any], ...]] = (CONTROL,)
 
     def __init__(
@@ -104,7 +109,9 @@
         control_peers: tuple[str, ...],
         *,
         snapshot_entries: int = _ENTRIES_PER_SNAPSHOT,
+        least_live_voters: int = 0,
     ) -> None:
+        self._least_live_voters = least_live_voters
         self._snapshot_entries = snapshot_entries
         self._board = board
         self._replica = replica
@@ -135,6 +142,11 @@
         """Replicas that lost entries they had acknowledged."""
         return frozenset(self._regressed)
 
+    def withdraw(self) -> None:
+        """Stop leading and let another controller take this one's place."""
+        self._board.write(self, CONTROL, ControlView())
+        self._board.release(self)
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Act on an event and return what the instance has to do.
 
@@ -218,6 +230,7 @@
         if not self._replica.has_lease(now):
             return
         self._remove_replaced(now)
+        self._demote_silent(now)
         if now >= self._next_expiry:
             self._next_expiry = now + _EXPIRY_INTERVAL_SECONDS
             expire = ExpireRecords(
@@ -231,7 +244,9 @@
         if now < self._next_join:
             return
         self._next_join = now + _JOIN_INTERVAL_SECONDS
-        for instance in self._control_peers:
+        leader = self._board.read(LEASE).leader
+        own = instance_of(self._replica.name)
+        for instance in sorted({*self._control_peers, leader} - {"", own}):
             request = JoinRequest(self._replica.name)
             self._actions.append(SendToPeer(instance, request))
 
@@ -250,6 +265,20 @@
                 self._remove(voter, now)
                 return
 
+    def _demote_silent(self, now: float) -> None:
+        """Make a voter a learner that is gone, if enough others vote without it.
+
+        A machine that was replaced by one with another address would otherwise
+        count in every quorum for ever. One that comes back is promoted again.
+        """
+        if not self._least_live_voters:
+            return
+        silent = self._replica.find_silent_voters(now, _SILENT_VOTER_SECONDS)
+        live = len(self._replica.membership.voters) - len(silent)
+        if silent and live >= self._least_live_voters:
+            _, effects = self._replica.demote_voter(silent[0], now)
+            self._carry_out(effects)
+
     def _remove(self, replica: str, now: float) -> ProposalError | None:
         result, effects = self._replica.remove_replica(replica, now)
         self._carry_out(effects)
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -31,14 +31,20 @@
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
+    MemberState,
     TableVersion,
 )
+from heathertack.routing import RouteTable
 
 
 class LeaseDue(NamedTuple):
     """The clock advanced."""
 
 
+class LeaseWanted(NamedTuple):
+    """What this instance says of itself has changed."""
+
+
 class GrantReceived(NamedTuple):
     """A leader answered or pushed a change."""
 
@@ -51,7 +57,7 @@
     hint: LeaderHint
 
 
-Event = LeaseDue | GrantReceived | HintReceived
+Event = LeaseDue | LeaseWanted | GrantReceived | HintReceived
 
 
 class InstanceIdentity(NamedTuple):
@@ -112,6 +118,10 @@
         """Time of the next request."""
         return self._next_request
 
+    def set_control_instances(self, instances: tuple[str, ...]) -> None:
+        """Replace the instances that are asked first."""
+        self._control_instances = instances
+
     def handle(self, event: Event, now: float) -> tuple[SendToPeer, ...]:
         """Act on an event and return the messages to send.
 
@@ -130,6 +140,8 @@
         match event:
             case LeaseDue():
                 return self._request(now) if now >= self._next_request else ()
+            case LeaseWanted():
+                return self._request(now)
             case GrantReceived():
                 return self._take_grant(event.grant, now)
             case HintReceived():
@@ -159,19 +171,41 @@
             table=self._table,
             sent_at=now,
         )
-        leader = self._leader or self._control_instances[self._candidate]
-        return (SendToPeer(leader, request),)
+        return (SendToPeer(self._leader or self._name_candidate(), request),)
+
+    def _name_candidate(self) -> str:
+        """Return whom to ask for the leader.
+
+        The known control instances are asked in turn, and after each round of them
+        one other member, which can name the leader should those be gone.
+        """
+        known = self._control_instances
+        others = self._list_other_members()
+        turn, place = divmod(self._candidate, len(known) + 1)
+        if place < len(known):
+            return known[place]
+        return others[turn % len(others)] if others else known[0]
+
+    def _list_other_members(self) -> tuple[str, ...]:
+        own = self._identity.instance
+        return tuple(
+            member.instance
+            for member in self._board.read(MEMBERS).values()
+            if member.state is not MemberState.GONE
+            and member.instance != own
+            and member.instance not in self._control_instances
+        )
 
     def _choose_next_candidate(self) -> None:
         self._leader = ""
-        self._candidate = (self._candidate + 1) % max(len(self._control_instances), 1)
+        self._candidate += 1
 
     def _follow_hint(self, hint: LeaderHint, now: float) -> tuple[SendToPeer, ...]:
         """Ask the named leader at once, though not again and again.
 
         Replicas may name each other while none of them leads.
         """
-        is_new = hint.leader in self._control_instances and hint.leader != self._leader
+        is_new = bool(hint.leader) and hint.leader != self._leader
         self._unanswered_since = None
         if not is_new:
             self._choose_next_candidate()
@@ -195,7 +229,12 @@
             bundle = _open_push(grant.bundle, current)
             if bundle is None or grant.bundle is None:
                 return self._request(now)
-            view = BundleView(grant.bundle.log_index, bundle, index_accounts(bundle))
+            view = BundleView(
+                grant.bundle.log_index,
+                bundle,
+                index_accounts(bundle),
+                RouteTable(bundle.get("routes", {})),
+            )
             self._board.write(self, BUNDLE, view)
         self._take_tables(grant)
         lease = self._board.read(LEASE)
--- a/packages/heathertack/src/heathertack/controllers/_lease_timings.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_timings.py
@@ -18,5 +18,34 @@
     settling: float = 2.0
 
 
+def derive_lease_timings(
+    propagation: float | None, disconnected_service: float | None
+) -> LeaseTimings:
+    """Derive the intervals from the bounds of a deployment.
+
+    Parameters
+    ----------
+    propagation : float or None
+        Time in which a bundle must be in force at connected instances, seconds.
+    disconnected_service : float or None
+        Time after which an instance without contact must not serve, seconds.
+
+    Returns
+    -------
+    LeaseTimings
+        A lease lasts for 0.6 of the time that an instance may serve without
+        contact, which leaves room for clocks that drift by a tenth and for requests
+        on their way. Requests are repeated four times in the shorter of the bounds.
+    """
+    timings = LeaseTimings()
+    if disconnected_service is not None:
+        timings = timings._replace(duration=0.6 * disconnected_service)
+    bounds = [timings.duration]
+    if propagation is not None:
+        bounds.append(propagation)
+    renewal = min(bounds) / 4
+    return timings._replace(renewal=min(max(renewal, 0.1), 1.0))
+
+
 #: Intervals that the daemon uses.
 LEASE_TIMINGS = LeaseTimings()
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -77,6 +77,8 @@
     attempt: int
     target: str
     reason: str
+    #: Target that is to keep a copy of the generation's memory, empty for none.
+    backup: str = ""
 
 
 class PlacementDenied(NamedTuple):
@@ -106,6 +108,7 @@
     target: str = ""
     made: int = 0
     reported: int = 0
+    backup: str = ""
 
 
 class PlacementController:
@@ -210,9 +213,10 @@
         match reply:
             case ReservationGrant():
                 self._placements[reply.generation_id] = placement._replace(
-                    heard_at=now, target=reply.target
+                    heard_at=now, target=reply.target, backup=reply.backup
                 )
-                return (_choose(placement.request, reply.target, reply.reason),)
+                chosen = _choose(placement.request, reply.target, reply.reason)
+                return (chosen._replace(backup=reply.backup),)
             case ReservationRefusal():
                 del self._placements[reply.generation_id]
                 denied = _deny(
@@ -233,7 +237,10 @@
             placement = self._placements.get(generation_id)
             if placement is not None and placement.target and placement.owner:
                 announce = ReservationAnnounce(
-                    placement.request, placement.target, placement.made
+                    placement.request,
+                    placement.target,
+                    placement.made,
+                    placement.backup,
                 )
                 actions.append(SendToPeer(placement.owner, announce))
         return tuple(actions)
--- a/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
@@ -54,7 +54,8 @@
     def format(self, *, forms_cluster: bool) -> None:
         self.formats += 1
         identity = StorageIdentity("kalamu", self.name, f"s{self.formats}")
-        format_folder(self.disk, identity, forms_cluster=forms_cluster)
+        voters = (identity.replica,) if forms_cluster else ()
+        format_folder(self.disk, identity, initial_voters=voters)
         self.identity = identity.replica
 
     def start(self, peers: tuple[str, ...], now: float) -> None:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -1,6 +1,6 @@
 import pytest
 
-from heathertack.controllers import AdmissionGroup, EngineLoad
+from heathertack.controllers import AdmissionGroup, EngineLoad, TargetCapacity
 from heathertack.messages import (
     ReservationAnnounce,
     ReservationGrant,
@@ -51,7 +51,9 @@
 
     def __init__(self, engines: int = 1, capacity: int = 1000) -> None:
         self.group = AdmissionGroup("tutor:0", TUNING, LengthEstimator(), 0.0)
-        self.group.set_targets({f"e{i}": capacity for i in range(engines)})
+        self.group.set_targets(
+            {f"e{i}": TargetCapacity(capacity) for i in range(engines)}
+        )
         self.replies: dict[str, object] = {}
 
     def keep(self, replies: tuple[object, ...]) -> None:
@@ -245,7 +247,7 @@
     def test_new_owner_waits_for_announcements(self) -> None:
         tuning = AdmissionTuning(settling=0.6)
         group = AdmissionGroup("tutor:0", tuning, LengthEstimator(), 10.0)
-        group.set_targets({"e0": 1000})
+        group.set_targets({"e0": TargetCapacity(1000)})
         group.request(request("b", prompt=500), "entry", 0, 10.1)
         announced = ReservationAnnounce(request("a", prompt=900), "e0", 5)
         group.announce(announced, "entry", 10.2)
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -68,6 +68,8 @@
     state: TargetState
     #: Memory of an engine for cached tokens; 0 for a plain service.
     cache_tokens: int = 0
+    #: Requests that it runs at one time; 0 where that is not known.
+    slots: int = 0
 
 
 class TableVersion(NamedTuple):
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -30,6 +30,12 @@
     excluded: tuple[str, ...]
     #: Longest wait from now on, seconds.
     patience: float
+    #: The caller's estimate of the length of the answer, tokens; 0 without one.
+    expected_tokens: int = 0
+    #: Target that holds the memory of the generation, empty for none.
+    preferred: str = ""
+    #: Whether a second target is to keep a copy of the generation's memory.
+    wants_backup: bool = False
 
 
 class ReservationGrant(NamedTuple):
@@ -40,6 +46,8 @@
     target: str
     #: Why the target was chosen, for operators.
     reason: str
+    #: Target that is to keep a copy of the generation's memory, empty for none.
+    backup: str = ""
 
 
 class ReservationRefusal(NamedTuple):
@@ -66,6 +74,8 @@
     request: ReservationRequest
     target: str
     made: int
+    #: Target that keeps a copy of the generation's memory, empty for none.
+    backup: str = ""
 
 
 class ProgressItem(NamedTuple):
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -3,13 +3,15 @@
 from heathertack.policy._fair_queue import FairQueue, QueuedItem
 from heathertack.policy._ledger import LedgerEntry, TargetLedger, projected_peak
 from heathertack.policy._lengths import LengthEstimator
-from heathertack.policy._prefix_index import PrefixIndex, digest_prefixes
+from heathertack.policy._prefix_index import BLOCK_TOKENS, PrefixIndex, digest_prefixes
 from heathertack.policy._rendezvous import choose_owner, group_targets
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
-from heathertack.policy._tuning import AdmissionTuning
+from heathertack.policy._tuning import ADMISSION_TUNING, AdmissionTuning
 
 __all__ = [
+    "ADMISSION_TUNING",
+    "BLOCK_TOKENS",
     "AdmissionTuning",
     "FairQueue",
     "LedgerEntry",
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -19,6 +19,9 @@
     large_cache_limit: float = 0.90
     #: Part of the cache from which on a request is large.
     large_part: float = 0.02
+    #: Part of the cache that the projected peak may fill with a further copy of
+    #: a generation of another target.
+    backup_limit: float = 0.80
     #: Prompt tokens that may wait for their first token on one target, unless
     #: it is a single prompt.
     prefill_budget: int = 512
@@ -42,3 +45,7 @@
     rate_window: float = 10.0
     #: Bounds of the time after which a refused caller may come back, seconds.
     retry_after_bounds: tuple[float, float] = (1.0, 60.0)
+
+
+#: Parameters that the daemon uses.
+ADMISSION_TUNING = AdmissionTuning()
--- a/packages/heathertack/src/heathertack/settings/__init__.py
+++ b/packages/heathertack/src/heathertack/settings/__init__.py
@@ -4,8 +4,10 @@
     Address,
     Limits,
     LimitSettings,
+    MembershipSettings,
     PeerSettings,
     Settings,
+    TimingSettings,
     resolve_limits,
 )
 from heathertack.settings._parse import SettingsError, parse_settings
@@ -14,9 +16,11 @@
     "Address",
     "LimitSettings",
     "Limits",
+    "MembershipSettings",
     "PeerSettings",
     "Settings",
     "SettingsError",
+    "TimingSettings",
     "parse_settings",
     "resolve_limits",
 ]
--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -46,6 +46,33 @@
     request_read_timeout: NotRequired[float]
 
 
+class MembershipSettings(TypedDict):
+    """How an instance finds the others where they are not listed as peers.
+
+    The name of an instance is then the address of its listener for other
+    instances, ``ip:port``, and the messages between them are not encrypted.
+    """
+
+    #: Names of instances to ask first.
+    seeds: list[str]
+    #: Whether the whole system starts for the first time, with empty folders. The
+    #: seeds then form the control log.
+    first_start: NotRequired[bool]
+    #: Instances with a disk that may be lost at one time.
+    tolerated_losses: NotRequired[int]
+
+
+class TimingSettings(TypedDict):
+    """Bounds of the deployment from which intervals are derived, seconds."""
+
+    #: Longest time in which an accepted bundle is in force at connected instances.
+    propagation: NotRequired[float]
+    #: Time after which an instance without contact serves no account's requests.
+    disconnected_service: NotRequired[float]
+    #: From the signal to leave until the process is killed.
+    leaving_grace: NotRequired[float]
+
+
 class Settings(TypedDict):
     """Everything one daemon is told at its start."""
 
@@ -59,12 +86,16 @@
     http: Address
     #: Listener for other instances.
     peer: Address
-    #: CURVE secret key, Z85 text.
-    secret_key: str
+    #: CURVE secret key, Z85 text; needed where other instances are listed.
+    secret_key: NotRequired[str]
     #: Folder for durable state; only instances that have a disk set it.
     data_folder: NotRequired[str]
     #: The other instances.
     peers: list[PeerSettings]
+    #: How the other instances are found; absent where they are listed.
+    membership: NotRequired[MembershipSettings]
+    #: Bounds of the deployment.
+    timings: NotRequired[TimingSettings]
     #: Ed25519 public keys of trusted operators, base64 text by operator name.
     operator_keys: dict[str, str]
     #: URL of the platform's list of live and leaving instances.
--- a/packages/heathertack/src/heathertack/settings/_parse.py
+++ b/packages/heathertack/src/heathertack/settings/_parse.py
@@ -38,7 +38,13 @@
 
 def _check_values(file: str, settings: Settings) -> Result[Settings, SettingsError]:
     addresses = [("$.http", settings["http"]), ("$.peer", settings["peer"])]
-    keys = [("$.secret_key", settings["secret_key"])]
+    keys = []
+    if "membership" not in settings or "secret_key" in settings:
+        keys.append(("$.secret_key", settings.get("secret_key", "")))
+    elif settings["peers"]:
+        expected = "no peers beside $.membership"
+        found = f"{len(settings['peers'])} peers"
+        return Failure(SettingsError(file, "$.peers", found, expected))
     for number, peer in enumerate(settings["peers"]):
         path = f"$.peers[{number}]"
         addresses.append((f"{path}.http", peer["http"]))
@@ -53,6 +59,12 @@
             found = f"{len(key)} characters"
             expected = f"a CURVE key of {_Z85_KEY_LENGTH} Z85 characters"
             return Failure(SettingsError(file, path, found, expected))
+    own_address = f"{settings['peer']['host']}:{settings['peer']['port']}"
+    if "membership" in settings and settings["instance"] != own_address:
+        expected = f"the address of the peer listener, {own_address}"
+        return Failure(
+            SettingsError(file, "$.instance", settings["instance"], expected)
+        )
     names = [peer["instance"] for peer in settings["peers"]]
     if settings["instance"] in names or len(set(names)) != len(names):
         expected = "each instance once, without this one"
--- a/packages/heathertack/src/heathertack/settings/tests/test_settings.py
+++ b/packages/heathertack/src/heathertack/settings/tests/test_settings.py
@@ -46,6 +46,38 @@
 ]
 
 
+SEEDED: dict[str, Any] = {
+    "instance": "127.0.0.1:9100",
+    "membership": {"seeds": ["127.0.0.2:9100"]},
+}
+
+INVALID_MEMBERSHIP = [
+    ("other name", {"instance": "entry-1"}, "$.instance", "127.0.0.1:9100"),
+    ("peers too", {"peers": [peer("x")], "secret_key": None}, "$.peers", "no peers"),
+    ("no key, no seeds", {"membership": None, "secret_key": None}, "$.secret", "40"),
+]
+
+
+class TestMembership:
+    def test_needs_no_key_where_members_are_found_from_seeds(self) -> None:
+        settings = json.loads(build(**SEEDED))
+        del settings["secret_key"]
+        assert isinstance(parse_settings("a", json.dumps(settings)), Success)
+
+    @pytest.mark.parametrize(
+        ("name", "changes", "path", "expected"), INVALID_MEMBERSHIP
+    )
+    def test_names_what_is_wrong(
+        self, name: str, changes: dict[str, Any], path: str, expected: str
+    ) -> None:
+        merged = {**json.loads(build(**SEEDED)), **changes}
+        present = {key: value for key, value in merged.items() if value is not None}
+        result = parse_settings("a.jsonc", json.dumps(present))
+        assert isinstance(result, Failure), name
+        assert path in str(result.failure())
+        assert expected in str(result.failure())
+
+
 class TestParseSettings:
     def test_accepts_comments(self) -> None:
         text = "// Settings of one instance.\n" + build(peers=[peer("entry-2")])
--- a/packages/heathertack/src/heathertack/storage/_identity.py
+++ b/packages/heathertack/src/heathertack/storage/_identity.py
@@ -32,7 +32,7 @@
 
 
 def format_folder(
-    disk: Disk, identity: StorageIdentity, *, forms_cluster: bool
+    disk: Disk, identity: StorageIdentity, *, initial_voters: tuple[str, ...] = ()
 ) -> None:
     """Prepare an empty data folder.
 
@@ -42,12 +42,11 @@
         The empty folder.
     identity : StorageIdentity
         Identity to give it.
-    forms_cluster : bool
-        Whether the replica starts a new log as its only voter. Otherwise it has
-        no vote until a leader adds it.
+    initial_voters : tuple of str
+        Replicas that start a new log together, this one among them. Without them
+        the replica has no vote until a leader adds it.
     """
-    voters = (identity.replica,) if forms_cluster else ()
-    snapshot = Snapshot(0, 0, Membership(voters), b"")
+    snapshot = Snapshot(0, 0, Membership(initial_voters), b"")
     disk.replace("snapshot", encode_snapshot(snapshot))
     write_segment(disk, 0, HardState(), ())
     disk.replace(_IDENTITY_FILE, msgspec.json.encode(identity._asdict()))
--- a/packages/heathertack/src/heathertack/storage/tests/test_storage.py
+++ b/packages/heathertack/src/heathertack/storage/tests/test_storage.py
@@ -22,7 +22,7 @@
 
 def formatted() -> MemoryDisk:
     disk = MemoryDisk()
-    format_folder(disk, IDENTITY, forms_cluster=True)
+    format_folder(disk, IDENTITY, initial_voters=(IDENTITY.replica,))
     return disk
 
 
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -1,6 +1,27 @@
 """The heathertack daemon."""
 
+from heathertackd._clock import monotonic
+from heathertackd._daemon import Daemon, StartError
 from heathertackd._disk import FolderDisk
+from heathertackd._instance import Instance
+from heathertackd._logs import Logger, configure_logs
 from heathertackd._main import main
+from heathertackd._retry_allowance import RetryAllowance
+from heathertackd._surface import BuildSurface, Surface
+from heathertackd._watchers import PlatformWatcher, TargetLister
 
-__all__ = ["FolderDisk", "main"]
+__all__ = [
+    "BuildSurface",
+    "Daemon",
+    "FolderDisk",
+    "Instance",
+    "Logger",
+    "PlatformWatcher",
+    "RetryAllowance",
+    "StartError",
+    "Surface",
+    "TargetLister",
+    "configure_logs",
+    "main",
+    "monotonic",
+]
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 from returns.result import Failure, Result, Success
 
 from heathertack.blackboard import Blackboard
 from heathertack.consensus import Replica, ReplicaTimings
 from heathertack.controllers import ControlLogController, LeavingStarted
-from heathertack.settings import Settings, resolve_limits
+from heathertack.policy import ADMISSION_TUNING, AdmissionTuning
+from heathertack.settings import Settings
 from heathertack.state import ControlStateMachine
 from heathertack.storage import (
     Disk,
@@ -28,20 +28,19 @@
     open_storage,
 )
 from heathertackd import _clock
-from heathertackd._call_session import CallRunner, PlainClient
-from heathertackd._connection_guard import ConnectionGuard
+from heathertackd._control_log_runner import ControlLogRunner
 from heathertackd._disk import FolderDisk
-from heathertackd._engine_client import EngineClient
-from heathertackd._front import Front
 from heathertackd._instance import Instance
 from heathertackd._logs import Logger
-from heathertackd._operator_api import OperatorApi
-from heathertackd._order_runner import OrderRunner
 from heathertackd._peers import PeerNetworkError
-from heathertackd._watchers import LoadWatcher, PlatformWatcher
+from heathertackd._sockets import open_target_socket
+from heathertackd._standard_surface import StandardSurface
+from heathertackd._surface import BuildSurface, Surface
 
 _DRAIN_STEP_SECONDS = 0.1
 _STORAGE_ID_BYTES = 6
+#: Storage id of the replicas that form the log at the first start of a system.
+_FOUNDING_STORAGE_ID = "founder"
 
 
 class StartError(Exception):
@@ -66,19 +65,36 @@
     StartError
         If the folder can't be used or is not empty.
     """
-    disk = _open_disk(settings)
-    if disk is None:
+    if "data_folder" not in settings:
         raise StartError("settings: $.data_folder: absent, expected a folder")
+    disk = _open_disk(settings)
     if disk.list_files():
         raise StartError(f"{settings.get('data_folder')}: expected an empty folder")
     identity = _new_identity(settings)
-    format_folder(disk, identity, forms_cluster=True)
+    format_folder(disk, identity, initial_voters=(identity.replica,))
     return identity.replica
 
 
-def build_control_log(
-    settings: Settings, board: Blackboard
-) -> ControlLogController | None:
+def open_control_log(
+    settings: Settings, board: Blackboard, logger: Logger
+) -> ControlLogRunner | None:
+    """Open the control log of an instance that has a data folder.
+
+    Raises
+    ------
+    StartError
+        If the folder can't be used.
+    """
+    if "data_folder" not in settings:
+        return None
+
+    def build(board: Blackboard) -> ControlLogController:
+        return build_control_log(settings, board)
+
+    return ControlLogRunner(board, build, logger)
+
+
+def build_control_log(settings: Settings, board: Blackboard) -> ControlLogController:
     """Open the data folder and return the controller of the control log.
 
     Raises
@@ -87,14 +103,11 @@
         If the folder can't be used.
     """
     disk = _open_disk(settings)
-    if disk is None:
-        return None
     identity = _or_raise(
         load_identity(disk, settings["cluster"], settings["instance"]), settings
     )
     if identity is None:
-        identity = _new_identity(settings)
-        format_folder(disk, identity, forms_cluster=False)
+        identity = _format(disk, settings)
     opened = _or_raise(open_storage(disk), settings)
     machine = ControlStateMachine()
     machine.restore_snapshot(opened.durable.snapshot.data)
@@ -105,8 +118,41 @@
         random.Random(secrets.randbits(64)),
         _clock.monotonic(),
     )
-    control_peers = tuple(p["instance"] for p in settings["peers"] if p["control"])
-    return ControlLogController(board, replica, opened.storage, machine, control_peers)
+    membership = settings.get("membership")
+    if membership is None:
+        peers = tuple(p["instance"] for p in settings["peers"] if p["control"])
+        return ControlLogController(board, replica, opened.storage, machine, peers)
+    return ControlLogController(
+        board,
+        replica,
+        opened.storage,
+        machine,
+        tuple(membership["seeds"]),
+        least_live_voters=2 * membership.get("tolerated_losses", 1) + 1,
+    )
+
+
+def _format(disk: Disk, settings: Settings) -> StorageIdentity:
+    """Format an empty folder.
+
+    At the first start of the whole system the seeds form the log together. They
+    know each other's storage ids without asking, and no other folder ever gets
+    the same one.
+    """
+    membership = settings.get("membership")
+    seeds = tuple(membership["seeds"]) if membership is not None else ()
+    is_first = membership is not None and membership.get("first_start", False)
+    if not is_first or settings["instance"] not in seeds:
+        identity = _new_identity(settings)
+        format_folder(disk, identity)
+        return identity
+    cluster = settings["cluster"]
+    founders = {
+        seed: StorageIdentity(cluster, seed, _FOUNDING_STORAGE_ID) for seed in seeds
+    }
+    voters = tuple(identity.replica for identity in founders.values())
+    format_folder(disk, founders[settings["instance"]], initial_voters=voters)
+    return founders[settings["instance"]]
 
 
 class Daemon:
@@ -118,11 +164,23 @@
         Settings of the instance.
     logger : Logger
         Logger of the instance.
+    build_surface : BuildSurface
+        Builds what the daemon offers.
+    tuning : AdmissionTuning
+        Parameters of admission.
     """
 
-    def __init__(self, settings: Settings, logger: Logger) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        logger: Logger,
+        build_surface: BuildSurface = StandardSurface,
+        tuning: AdmissionTuning = ADMISSION_TUNING,
+    ) -> None:
         self._settings = settings
         self._logger = logger
+        self._build_surface = build_surface
+        self._tuning = tuning
         self._stop_now = asyncio.Event()
         self._leaving = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
@@ -136,62 +194,35 @@
             If an address or the data folder can't be used.
         """
         board = Blackboard()
-        control_log = build_control_log(self._settings, board)
-        instance = Instance(self._settings, control_log, board, self._logger)
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            engines = EngineClient(session)
-            calls = CallRunner(instance, PlainClient(session))
-            limits = resolve_limits(self._settings)
-            guard = ConnectionGuard(limits.max_connections, limits.request_read_timeout)
-            runner = self._build_runner(instance, engines, calls, guard)
+        control_log = open_control_log(self._settings, board, self._logger)
+        instance = Instance(
+            self._settings, control_log, board, self._logger, self._tuning
+        )
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_target_socket)
+        async with aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        ) as session:
+            surface = self._build_surface(instance, session)
             try:
-                await self._start(instance, runner)
-                self._watch(PlatformWatcher(instance, session).run())
-                self._watch(LoadWatcher(instance, engines).run())
-                if control_log is not None:
-                    self._watch(OrderRunner(instance, engines).run())
-                if runner.server is not None:
-                    self._watch(guard.run(runner.server))
+                await self._start(instance, surface)
+                for work in surface.background_work():
+                    self._watch(work)
                 self._listen_to_signals()
                 self._logger.info("started", incarnation=instance.incarnation)
-                await self._serve(instance, calls)
+                await self._serve(instance, surface)
             finally:
                 for task in self._tasks:
                     task.cancel()
-                await runner.cleanup()
+                await surface.stop()
                 await instance.stop()
         self._logger.info("stopped")
 
-    def _build_runner(
-        self,
-        instance: Instance,
-        engines: EngineClient,
-        calls: CallRunner,
-        guard: ConnectionGuard,
-    ) -> web.AppRunner:
-        limits = resolve_limits(self._settings)
-        app = web.Application(
-            client_max_size=limits.max_body_bytes, middlewares=[guard.middleware]
-        )
-        Front(instance, engines, calls).add_routes(app)
-        OperatorApi(instance).add_routes(app)
-        return web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            max_field_size=limits.max_header_bytes,
-            max_line_size=limits.max_header_bytes,
-        )
-
-    async def _start(self, instance: Instance, runner: web.AppRunner) -> None:
-        await runner.setup()
-        http = self._settings["http"]
-        site = web.TCPSite(runner, http["host"], http["port"])
+    async def _start(self, instance: Instance, surface: Surface) -> None:
         try:
-            await site.start()
+            await surface.start()
             await instance.start()
         except OSError as error:
+            http = self._settings["http"]
             place = f"{http['host']}:{http['port']}"
             message = f"settings: $.http: can't listen on {place}: {error.strerror}"
             raise StartError(message) from error
@@ -212,21 +243,20 @@
             self._stop_now.set()
         self._leaving.set()
 
-    async def _serve(self, instance: Instance, calls: CallRunner) -> None:
+    async def _serve(self, instance: Instance, surface: Surface) -> None:
         await self._leaving.wait()
         instance.drain.handle(LeavingStarted(), _clock.monotonic())
+        instance.announce_leaving()
+        surface.leave()
         self._logger.info("leaving")
         while not self._stop_now.is_set():
-            may_stop = instance.drain.may_stop(_clock.monotonic())
-            if may_stop and not calls.pending_records:
+            if surface.may_stop(_clock.monotonic()):
                 return
             await asyncio.sleep(_DRAIN_STEP_SECONDS)
 
 
-def _open_disk(settings: Settings) -> Disk | None:
-    folder = settings.get("data_folder")
-    if folder is None:
-        return None
+def _open_disk(settings: Settings) -> Disk:
+    folder = settings["data_folder"]
     try:
         return FolderDisk(Path(folder))
     except OSError as error:
--- a/packages/heathertackd/src/heathertackd/_front.py
+++ b/packages/heathertackd/src/heathertackd/_front.py
@@ -17,7 +17,6 @@
 from heathertack.blackboard import BUNDLE, LEASE, SUSPECTS
 from heathertack.bundle import AccountConfiguration, ServiceConfiguration, find_route
 from heathertack.controllers import (
-    Refusal,
     RequestClosed,
     RequestOpened,
     choose_addresses,
@@ -30,7 +29,12 @@
 from heathertackd._engine_client import EngineClient
 from heathertackd._generation_session import GenerationOrder, GenerationSession
 from heathertackd._instance import Instance
-from heathertackd._refusals import not_run, refusal_response
+from heathertackd._refusals import (
+    RefusedError,
+    not_run,
+    refusal_response,
+    too_large,
+)
 from heathertackd._wire import CHAT_PATH, TEXT_PATH, CompletionRequest, parse_completion
 
 _CONFIRMATION_SECONDS = 3.0
@@ -46,14 +50,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-class RefusedError(Exception):
-    """A request that ends with a refusal before it runs."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
 class Caller(NamedTuple):
     """Whose request it is."""
 
@@ -274,7 +270,7 @@
         """Read a body within the bounds of size and time."""
         limit = self._limits.max_body_bytes
         if request.content_length is not None and request.content_length > limit:
-            raise RefusedError(_too_large(limit))
+            raise RefusedError(too_large(limit))
         try:
             async with asyncio.timeout(self._limits.request_read_timeout):
                 return await request.read()
@@ -282,7 +278,7 @@
             message = "the body did not arrive in time"
             raise RefusedError(not_run("request_timeout", message)) from error
         except web.HTTPRequestEntityTooLarge as error:
-            raise RefusedError(_too_large(limit)) from error
+            raise RefusedError(too_large(limit)) from error
 
     def _find_service(self, name: str, kind: str) -> ServiceConfiguration:
         bundle = self._instance.board.read(BUNDLE).bundle
@@ -329,7 +325,3 @@
 def _json_response(document: object, status: int = 200) -> web.Response:
     body = msgspec.json.encode(document)
     return web.Response(status=status, body=body, content_type="application/json")
-
-
-def _too_large(limit: int) -> Refusal:
-    return not_run("body_too_large", f"the body has more than {limit} bytes")
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -113,6 +113,7 @@
             _QUEUED_CHUNKS
         )
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = 0.0
         self._links: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[Any]] = set()
         self._stream = CallerStream(http_request, self._id, order.write_timeout)
@@ -181,11 +182,16 @@
         if deadline is None:
             return
         if self._timer is not None:
-            if self._timer.when() <= deadline:
+            if self._timer_due <= deadline:
                 return
             self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(deadline, self._ring)
+        self._start_timer(deadline)
+
+    def _start_timer(self, deadline: float) -> None:
+        """Ring at a deadline of this daemon's clock, which is not the loop's."""
+        self._timer_due = deadline
+        wait = max(deadline - _clock.monotonic(), 0.0)
+        self._timer = asyncio.get_running_loop().call_later(wait, self._ring)
 
     def _ring(self) -> None:
         self._timer = None
@@ -194,8 +200,7 @@
         if is_due and not self._events.full():
             self._events.put_nowait((GenerationTimePassed(),))
         elif deadline is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(deadline, self._ring)
+            self._start_timer(deadline)
 
     async def _leave(self) -> None:
         """Free what the generation holds, because its caller left."""
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -34,7 +34,7 @@
     CommandSubmitted,
     ConfirmBundleInForce,
     ConsensusReceived,
-    ControlLogController,
+    ControlLogEvent,
     DrainController,
     GrantReceived,
     HintReceived,
@@ -44,13 +44,14 @@
     LeaseGrantorController,
     LeaseHolderController,
     LeaseRequested,
+    LeaseTimings,
+    LeaseWanted,
     LeavingReported,
     OwnerReplied,
     PlacementController,
     PlacementDenied,
     PlacementDue,
     ProgressReceived,
-    ProposalsDue,
     ProposeCommand,
     ReleaseReceived,
     ReservationReceived,
@@ -58,6 +59,7 @@
     TargetChosen,
     TargetHealthController,
     TimePassed,
+    derive_lease_timings,
     instance_of,
 )
 from heathertack.messages import (
@@ -79,15 +81,17 @@
     ReservationUnknown,
     TargetReport,
 )
-from heathertack.policy import AdmissionTuning
+from heathertack.policy import ADMISSION_TUNING, AdmissionTuning
 from heathertack.settings import Settings
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
 from heathertackd._control_client import ControlClient
+from heathertackd._control_log_runner import ControlLogRunner
 from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
+from heathertackd._retry_allowance import RetryAllowance
 
 _CONTROL_TICK_SECONDS = 0.05
 _ENTRY_TICK_SECONDS = 0.1
@@ -120,20 +124,23 @@
     ----------
     settings : Settings
         Settings of the instance.
-    control_log : ControlLogController or None
-        Controller of the control log, on instances with a data folder.
+    control_log : ControlLogRunner or None
+        Control log, on instances with a data folder.
     board : Blackboard
         Blackboard on which ``control_log`` is registered.
     logger : Logger
         Logger of the instance.
+    tuning : AdmissionTuning
+        Parameters of admission.
     """
 
     def __init__(
         self,
         settings: Settings,
-        control_log: ControlLogController | None,
+        control_log: ControlLogRunner | None,
         board: Blackboard,
         logger: Logger,
+        tuning: AdmissionTuning = ADMISSION_TUNING,
     ) -> None:
         self.settings = settings
         self.name = settings["instance"]
@@ -143,30 +150,35 @@
         self.address_ttl = settings.get("address_ttl", _DEFAULT_ADDRESS_TTL_SECONDS)
         self.incarnation = int(_clock.wall_time() * 1000)
         self.control_log = control_log
+        self.lease_timings = _choose_lease_timings(settings)
         self.grantor = (
-            LeaseGrantorController(board, self.name, LEASE_TIMINGS)
+            LeaseGrantorController(board, self.name, self.lease_timings)
             if control_log is not None
             else None
         )
         self.lease_holder = LeaseHolderController(
-            board, self._identity(), self.control_instances, LEASE_TIMINGS
+            board, self._identity(), self.control_instances, self.lease_timings
+        )
+        self.drain = DrainController(
+            board, self.address_ttl + self.lease_timings.duration
         )
-        self.drain = DrainController(board, self.address_ttl + LEASE_TIMINGS.duration)
         self.health = TargetHealthController(board)
-        self.admission = AdmissionController(board, self.name, AdmissionTuning())
+        self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board)
         self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
         self.control = ControlClient(self.send, self._find_leader)
         self._listeners: dict[str, PlacementListener] = {}
         self._in_force: dict[int, asyncio.Event] = {}
-        self._proposals_due = False
         self._local_results: dict[str, Callable[[AnswerCommand], None]] = {}
         self._task: asyncio.Task[None] | None = None
         self.explanations = ExplanationLog()
+        self.retry_allowance = RetryAllowance()
 
     @property
     def control_instances(self) -> tuple[str, ...]:
-        """Instances that may lead the control log."""
+        """Instances that may lead the control log, as far as the settings tell."""
+        if "membership" in self.settings:
+            return tuple(self.settings["membership"]["seeds"])
         others = [p["instance"] for p in self.settings["peers"] if p["control"]]
         own = [self.name] if "data_folder" in self.settings else []
         return tuple(own + others)
@@ -174,14 +186,18 @@
     async def start(self) -> None:
         """Open the connections to other instances and start the clock."""
         await self.network.start()
-        if self.control_log is not None and self.control_log.machine.bundle:
-            self._carry_out((AnnounceBundle(self.control_log.machine.bundle),))
+        if self.control_log is not None:
+            if self.control_log.bundle is not None:
+                self._carry_out((AnnounceBundle(self.control_log.bundle),))
+            self.control_log.start(self._carry_out)
         self._task = asyncio.create_task(self._tick())
 
     async def stop(self) -> None:
         """Close the connections to other instances."""
         if self._task is not None:
             self._task.cancel()
+        if self.control_log is not None:
+            self.control_log.stop()
         await self.network.stop()
 
     def send(self, instance: str, message: PeerMessage) -> None:
@@ -202,14 +218,10 @@
                 | AppendResponse()
                 | SnapshotRequest()
             ):
-                if self.control_log is not None:
-                    event = ConsensusReceived(message)
-                    self._carry_out(self.control_log.handle(event, now))
+                self.post_control(ConsensusReceived(message))
             case JoinRequest():
-                is_own = instance_of(message.replica) == sender
-                if self.control_log is not None and is_own:
-                    join = JoinReceived(message)
-                    self._carry_out(self.control_log.handle(join, now))
+                if instance_of(message.replica) == sender:
+                    self.post_control(JoinReceived(message))
             case LeaseRequest() | LeaseGrant() | LeaderHint() | TargetReport():
                 self._receive_lease(sender, message, now)
             case ControlRequest():
@@ -227,6 +239,21 @@
         """Forget the listener of a generation."""
         self._listeners.pop(generation_id, None)
 
+    def post_control(self, event: ControlLogEvent) -> None:
+        """Give an event to the control log, on instances that have one."""
+        if self.control_log is not None:
+            self.control_log.post(event)
+
+    def announce_leaving(self) -> None:
+        """Tell the leader at once that callers are to go elsewhere."""
+        now = _clock.monotonic()
+        self._carry_out(self.lease_holder.handle(LeaseWanted(), now))
+
+    def follow_settings(self, settings: Settings) -> None:
+        """Take over the seeds of changed settings."""
+        self.settings = settings
+        self.lease_holder.set_control_instances(self.control_instances)
+
     def carry_out(self, actions: Iterable[Action]) -> None:
         """Carry out the actions of a controller."""
         self._carry_out(actions)
@@ -273,8 +300,8 @@
     def _pass_time(self) -> None:
         now = _clock.monotonic()
         passed = TimePassed(_clock.wall_time())
-        if self.control_log is not None and self.grantor is not None:
-            self._carry_out(self.control_log.handle(passed, now))
+        self.post_control(passed)
+        if self.grantor is not None:
             self._carry_out(self.grantor.handle(passed, now))
         self._carry_out(self.lease_holder.handle(LeaseDue(), now))
         self._carry_out(self.admission.handle(AdmissionDue(), now))
@@ -294,9 +321,7 @@
                 hint = HintReceived(message)
                 self._carry_out(self.lease_holder.handle(hint, now))
             case LeaseRequest():
-                if self.grantor is None or message.instance != sender:
-                    return
-                self._carry_out(self.grantor.handle(LeaseRequested(message), now))
+                self._take_lease_request(sender, message, now)
             case TargetReport():
                 if self.grantor is not None:
                     report = LeavingReported(message.target)
@@ -304,6 +329,16 @@
             case _:
                 assert_never(message)
 
+    def _take_lease_request(
+        self, sender: str, request: LeaseRequest, now: float
+    ) -> None:
+        if request.instance != sender:
+            return
+        if self.grantor is None:
+            self.send(sender, LeaderHint(self._find_leader()))
+            return
+        self._carry_out(self.grantor.handle(LeaseRequested(request), now))
+
     def _take_grant(self, grant: LeaseGrant, now: float) -> None:
         before = self.board.read(BUNDLE).log_index
         self._carry_out(self.lease_holder.handle(GrantReceived(grant), now))
@@ -352,7 +387,7 @@
             return
         match COMMAND_CODEC.decode(request.command):
             case Success(command):
-                self._queue_command(
+                self.post_control(
                     CommandSubmitted(
                         request.request_id, sender, command, _clock.wall_time()
                     )
@@ -360,21 +395,6 @@
             case Failure(error):
                 self.logger.warning("command_unreadable", detail=error.detail)
 
-    def _queue_command(self, event: CommandSubmitted) -> None:
-        """Queue a command; all commands of one turn of the loop are synced once."""
-        if self.control_log is None:
-            return
-        self._carry_out(self.control_log.handle(event, _clock.monotonic()))
-        if not self._proposals_due:
-            self._proposals_due = True
-            asyncio.get_running_loop().call_soon(self._propose)
-
-    def _propose(self) -> None:
-        self._proposals_due = False
-        if self.control_log is not None:
-            now = _clock.monotonic()
-            self._carry_out(self.control_log.handle(ProposalsDue(), now))
-
     def _carry_out(self, actions: Iterable[Action]) -> None:
         for action in actions:
             match action:
@@ -389,7 +409,7 @@
                         "leadership", term=action.term, is_leader=action.is_leader
                     )
                 case ProposeCommand():
-                    self._queue_command(
+                    self.post_control(
                         CommandSubmitted("", "", action.command, _clock.wall_time())
                     )
                 case ConfirmBundleInForce():
@@ -421,3 +441,12 @@
         for waited in tuple(self._in_force):
             if waited <= index:
                 self._in_force.pop(waited).set()
+
+
+def _choose_lease_timings(settings: Settings) -> LeaseTimings:
+    bounds = settings.get("timings")
+    if bounds is None:
+        return LEASE_TIMINGS
+    return derive_lease_timings(
+        bounds.get("propagation"), bounds.get("disconnected_service")
+    )
--- a/packages/heathertackd/src/heathertackd/_logs.py
+++ b/packages/heathertackd/src/heathertackd/_logs.py
@@ -11,7 +11,7 @@
 
 
 def configure_logs(instance: str, level: str) -> Logger:
-    """Send logs to standard error.
+    """Send logs to standard output.
 
     Parameters
     ----------
@@ -38,7 +38,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
     )
     logger: Logger = structlog.get_logger(instance=instance)
     return logger
--- a/packages/heathertackd/src/heathertackd/_operator_api.py
+++ b/packages/heathertackd/src/heathertackd/_operator_api.py
@@ -137,7 +137,7 @@
         control_log = self._instance.control_log
         if control_log is None:
             raise web.HTTPInternalServerError(text="no control log")
-        return control_log
+        return control_log.controller
 
     async def _give_status(self, request: web.Request) -> web.Response:
         del request
@@ -145,8 +145,10 @@
         bundle = board.read(BUNDLE)
         control_log = self._instance.control_log
         grantor = self._instance.grantor
-        membership = control_log.replica.membership if control_log else None
-        regressed = control_log.regressed_replicas if control_log else frozenset()
+        membership = control_log.membership if control_log else None
+        regressed = (
+            control_log.controller.regressed_replicas if control_log else frozenset()
+        )
         status = StatusDocument(
             instance=self._instance.name,
             leader=board.read(LEASE).leader,
@@ -310,8 +312,7 @@
         future: asyncio.Future[AnswerCommand] = asyncio.Future()
         self._instance.expect_local_answer(request_id, future.set_result)
         event = ChangeReplicas(request_id, operation, document["replica"])
-        actions = self._control_log().handle(event, _clock.monotonic())
-        self._instance.carry_out(actions)
+        self._instance.post_control(event)
         return _answer_command(await future)
 
     async def _commit_document(
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -1,9 +1,10 @@
-"""Messages between instances over pyzmq with CURVE."""
+"""Messages between instances over pyzmq, with CURVE where peers are listed."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 import zmq
 import zmq.asyncio
@@ -11,13 +12,14 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from heathertack.messages import PEER_CODEC, PeerMessage
-from heathertack.settings import PeerSettings, Settings
+from heathertack.settings import Settings
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 
 _SEND_QUEUE_MESSAGES = 1000
-_HEARTBEAT_MILLISECONDS = 2000
-_HEARTBEAT_TIMEOUT_MILLISECONDS = 5000
+#: A silent connection is replaced well within the wait for a lease (1.5 s).
+_HEARTBEAT_MILLISECONDS = 500
+_HEARTBEAT_TIMEOUT_MILLISECONDS = 1500
 _RECONNECT_MILLISECONDS = 100
 _RECONNECT_LIMIT_MILLISECONDS = 1000
 _LARGEST_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -29,6 +31,49 @@
     """The listener for other instances can't be opened."""
 
 
+class PeerAddress(NamedTuple):
+    """Where the messages for an instance go."""
+
+    #: ``ip:port`` of its listener.
+    address: str
+    #: Its CURVE public key; ``None`` where connections are not encrypted.
+    public_key: bytes | None = None
+
+
+class PeerDirectory(Protocol):
+    """Knows the addresses of the other instances."""
+
+    def find(self, instance: str) -> PeerAddress | None:
+        """Return the address of an instance, ``None`` for an unknown one."""
+        ...
+
+
+class ListedPeers:
+    """The instances that the settings list."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._peers = {
+            peer["instance"]: PeerAddress(
+                f"{peer['peer']['host']}:{peer['peer']['port']}",
+                peer["public_key"].encode(),
+            )
+            for peer in settings["peers"]
+        }
+
+    def find(self, instance: str) -> PeerAddress | None:
+        """Return the address of an instance, ``None`` for an unknown one."""
+        return self._peers.get(instance)
+
+
+class AddressNamedPeers:
+    """Instances whose name is their address."""
+
+    def find(self, instance: str) -> PeerAddress | None:
+        """Return the address of an instance, ``None`` for no address."""
+        host, _, port = instance.rpartition(":")
+        return PeerAddress(instance) if host and port.isdigit() else None
+
+
 class _KnownKeys:
     """Admits only instances whose public key is in the settings."""
 
@@ -63,17 +108,23 @@
         self._receive = receive
         self._metrics = metrics
         self._logger = logger
-        self._peers = {peer["instance"]: peer for peer in settings["peers"]}
-        self._names = {peer["public_key"]: name for name, peer in self._peers.items()}
+        self._name = settings["instance"].encode()
+        self._is_encrypted = "membership" not in settings
+        self._directory: PeerDirectory = (
+            ListedPeers(settings) if self._is_encrypted else AddressNamedPeers()
+        )
+        self._names = {p["public_key"]: p["instance"] for p in settings["peers"]}
         self._context = zmq.asyncio.Context()
         self._plain_context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
             self._context
         )
-        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator: AsyncioAuthenticator | None = None
         self._senders: dict[str, zmq.Socket[bytes]] = {}
         self._listener: zmq.asyncio.Socket | None = None
-        self._secret_key = settings["secret_key"].encode()
-        self._public_key = zmq.curve_public(self._secret_key)
+        self._secret_key = settings.get("secret_key", "").encode()
+        self._public_key = (
+            zmq.curve_public(self._secret_key) if self._is_encrypted else b""
+        )
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -84,18 +135,19 @@
         PeerNetworkError
             If the address can't be used.
         """
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(
-            credentials_provider=_KnownKeys(self._names)
-        )
         listener = self._context.socket(zmq.PULL)
-        listener.curve_secretkey = self._secret_key
-        listener.curve_publickey = self._public_key
-        listener.curve_server = True
+        if self._is_encrypted:
+            self._authenticator = AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback(
+                credentials_provider=_KnownKeys(self._names)
+            )
+            listener.curve_secretkey = self._secret_key
+            listener.curve_publickey = self._public_key
+            listener.curve_server = True
         listener.linger = 0
         listener.setsockopt(zmq.MAXMSGSIZE, _LARGEST_MESSAGE_BYTES)
-        listener.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MILLISECONDS)
-        listener.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MILLISECONDS)
+        _watch_link(listener)
         address = self._settings["peer"]
         endpoint = f"tcp://{address['host']}:{address['port']}"
         try:
@@ -114,51 +166,57 @@
             self._listener.close()
         for sender in self._senders.values():
             sender.close()
-        self._authenticator.stop()
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.destroy(linger=0)
 
     def send(self, instance: str, message: PeerMessage) -> None:
         """Send a message; one that can't be sent now is dropped and counted."""
-        peer = self._peers.get(instance)
-        if peer is None:
-            return
         sender = self._senders.get(instance)
         if sender is None:
+            peer = self._directory.find(instance)
+            if peer is None:
+                return
             sender = self._connect(peer)
             self._senders[instance] = sender
         data = PEER_CODEC.encode(message)
         try:
-            sender.send(data, zmq.NOBLOCK)
+            sender.send_multipart((self._name, data), zmq.NOBLOCK)
         except zmq.Again:
             self._metrics.peer_messages.labels("dropped").inc()
             return
         self._metrics.peer_messages.labels("sent").inc()
         self._metrics.peer_bytes.labels("sent").inc(len(data))
 
-    def _connect(self, peer: PeerSettings) -> zmq.Socket[bytes]:
+    def _connect(self, peer: PeerAddress) -> zmq.Socket[bytes]:
         sender: zmq.Socket[bytes] = self._plain_context.socket(zmq.PUSH)
-        sender.curve_secretkey = self._secret_key
-        sender.curve_publickey = self._public_key
-        sender.curve_serverkey = peer["public_key"].encode()
+        if peer.public_key is not None:
+            sender.curve_secretkey = self._secret_key
+            sender.curve_publickey = self._public_key
+            sender.curve_serverkey = peer.public_key
         sender.linger = 0
         sender.setsockopt(zmq.SNDHWM, _SEND_QUEUE_MESSAGES)
         sender.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MILLISECONDS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_LIMIT_MILLISECONDS)
-        sender.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MILLISECONDS)
-        sender.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MILLISECONDS)
-        address = peer["peer"]
-        sender.connect(f"tcp://{address['host']}:{address['port']}")
+        _watch_link(sender)
+        sender.connect(f"tcp://{peer.address}")
         return sender
 
     async def _receive_all(self, listener: zmq.asyncio.Socket) -> None:
         while True:
-            frame = await listener.recv(copy=False)
-            sender = self._names.get(str(frame.get("User-Id")), "")
-            data = frame.bytes
+            frames = await listener.recv_multipart(copy=False)
+            sender = self._identify(frames[0])
+            data = frames[-1].bytes
             self._metrics.peer_messages.labels("received").inc()
             self._metrics.peer_bytes.labels("received").inc(len(data))
             self._handle(sender, data)
 
+    def _identify(self, frame: zmq.Frame) -> str:
+        """Return the sender: the one that was authenticated, or that it names."""
+        if self._is_encrypted:
+            return self._names.get(str(frame.get("User-Id")), "")
+        return frame.bytes.decode(errors="replace")
+
     def _handle(self, sender: str, data: bytes) -> None:
         match PEER_CODEC.decode(data):
             case Success(message):
@@ -167,3 +225,9 @@
                 self._logger.warning(
                     "peer_message_unreadable", sender=sender, detail=error.detail
                 )
+
+
+def _watch_link(link: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
+    """Close connections of a socket that have gone silent."""
+    link.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MILLISECONDS)
+    link.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MILLISECONDS)
--- a/packages/heathertackd/src/heathertackd/_refusals.py
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -10,6 +10,15 @@
 
 from heathertack.controllers import Execution, Refusal
 
+
+class RefusedError(Exception):
+    """A request that ends with a refusal before it runs."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
 #: HTTP status by refusal code; 503 for all others.
 _STATUS_BY_CODE = {
     "invalid_request": 400,
@@ -22,6 +31,7 @@
     "queue_full": 429,
     "overloaded": 429,
     "target_lost": 502,
+    "timeout": 504,
     "quarantined": 503,
 }
 
@@ -55,3 +65,8 @@
 def not_run(code: str, message: str, retry_after: float | None = None) -> Refusal:
     """Return the refusal of a request that did not run."""
     return Refusal(code, message, Execution.NOT_RUN, retry_after)
+
+
+def too_large(limit: int) -> Refusal:
+    """Return the refusal of a body that is over a limit in bytes."""
+    return not_run("body_too_large", f"the body has more than {limit} bytes")
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_surface.py
@@ -0,0 +1,48 @@
+"""What a daemon offers to callers, operators and targets."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+import aiohttp
+
+from heathertackd._instance import Instance
+
+
+class Surface(Protocol):
+    """Listeners and background work of one daemon."""
+
+    async def start(self) -> None:
+        """Open the listeners.
+
+        Raises
+        ------
+        OSError
+            If an address can't be used.
+        """
+        ...
+
+    def background_work(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return what runs until the daemon stops."""
+        ...
+
+    def leave(self) -> None:
+        """Begin to leave: callers are to go elsewhere."""
+        ...
+
+    def may_stop(self, now: float) -> bool:
+        """Tell whether nobody can be harmed by stopping."""
+        ...
+
+    async def stop(self) -> None:
+        """Close the listeners."""
+        ...
+
+
+class BuildSurface(Protocol):
+    """Builds the surface of a daemon."""
+
+    def __call__(self, instance: Instance, session: aiohttp.ClientSession) -> Surface:
+        """Return a surface that uses a session for its connections to targets."""
+        ...
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections import Counter
-from typing import TypedDict
+from typing import Protocol, TypedDict
 
 import aiohttp
 import msgspec
+from returns.result import Failure, Result, Success
 
-from heathertack.blackboard import CONTROL, TARGETS
+from heathertack.blackboard import BUNDLE, CONTROL, TARGETS
 from heathertack.controllers import (
     CacheEventReceived,
     LoadMissed,
@@ -39,6 +40,40 @@
     instances: list[_PlatformInstance]
 
 
+class TargetLister(Protocol):
+    """Knows the platform's list of targets."""
+
+    async def fetch(self) -> Result[tuple[TargetRecord, ...], str]:
+        """Return the whole list, or why it can't be read."""
+        ...
+
+
+class StandardTargetLister:
+    """Reads the list in the product's own format.
+
+    Parameters
+    ----------
+    url : str
+        Where the list is.
+    session : aiohttp.ClientSession
+        Connection to the platform.
+    """
+
+    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
+        self._url = url
+        self._session = session
+
+    async def fetch(self) -> Result[tuple[TargetRecord, ...], str]:
+        """Return the whole list, or why it can't be read."""
+        timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
+        try:
+            async with self._session.get(self._url, timeout=timeout) as response:
+                listed = msgspec.json.decode(await response.read(), type=_PlatformList)
+            return Success(tuple(_describe_target(i) for i in listed["instances"]))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            return Failure(repr(error))
+
+
 class PlatformWatcher:
     """Asks the platform for its list while this instance leads.
 
@@ -46,13 +81,22 @@
     ----------
     instance : Instance
         The daemon.
-    session : aiohttp.ClientSession
-        Connection to the platform.
+    lister : TargetLister
+        Reads the list.
+    interval : float
+        Pause between two readings, seconds.
     """
 
-    def __init__(self, instance: Instance, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        lister: TargetLister,
+        interval: float = _PLATFORM_SECONDS,
+    ) -> None:
         self._instance = instance
-        self._session = session
+        self._lister = lister
+        self._interval = interval
+        self._is_reachable = True
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -60,27 +104,46 @@
             control = self._instance.board.read(CONTROL)
             if control.may_lead(_clock.monotonic()):
                 await self._fetch()
-            await asyncio.sleep(_PLATFORM_SECONDS)
+            await asyncio.sleep(self._interval)
 
     async def _fetch(self) -> None:
-        url = self._instance.settings["platform_url"]
-        timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
-        try:
-            async with self._session.get(url, timeout=timeout) as response:
-                listed = msgspec.json.decode(await response.read(), type=_PlatformList)
-            targets = tuple(_describe_target(item) for item in listed["instances"])
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            ValueError,
-        ) as error:
-            self._instance.logger.warning("platform_unreadable", detail=repr(error))
+        result = await self._lister.fetch()
+        is_reachable = isinstance(result, Success)
+        if is_reachable != self._is_reachable:
+            self._is_reachable = is_reachable
+            event = "platform_back" if is_reachable else "platform_unreadable"
+            detail = "" if is_reachable else result.failure()
+            self._instance.logger.warning(event, detail=detail)
+        if not is_reachable or self._instance.grantor is None:
             return
-        if self._instance.grantor is not None:
-            event = PlatformListed(targets)
-            actions = self._instance.grantor.handle(event, _clock.monotonic())
-            self._instance.carry_out(actions)
+        targets = tuple(self._complete(target) for target in result.unwrap())
+        self._log_changes(targets)
+        event_listed = PlatformListed(targets)
+        actions = self._instance.grantor.handle(event_listed, _clock.monotonic())
+        self._instance.carry_out(actions)
+
+    def _complete(self, target: TargetRecord) -> TargetRecord:
+        """Add what the bundle says of the engines of a service."""
+        bundle = self._instance.board.read(BUNDLE).bundle
+        service = bundle["services"].get(target.service) if bundle is not None else None
+        engine = service.get("engine") if service is not None else None
+        if engine is None or target.cache_tokens:
+            return target
+        slots = target.slots or engine["slots"]
+        return target._replace(cache_tokens=engine["cache_tokens"], slots=slots)
+
+    def _log_changes(self, targets: tuple[TargetRecord, ...]) -> None:
+        known = self._instance.board.read(TARGETS)
+        for target in targets:
+            before = known.get(target.name)
+            if before is None or before.state is not target.state:
+                self._instance.logger.info(
+                    "target_listed",
+                    target=target.name,
+                    service=target.service,
+                    address=target.address,
+                    state=target.state.value,
+                )
 
 
 class LoadWatcher:
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -0,0 +1,187 @@
+"""Admits requests by the bundle's routes and accounts, and forwards them."""
+
+from __future__ import annotations
+
+import hashlib
+from itertools import count
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure
+
+from heathertack.blackboard import BUNDLE, LEASE, BundleView
+from heathertack.bundle import Bundle, ForwardingRoute
+from heathertack.controllers import Refusal, RequestClosed, RequestOpened
+from heathertack.routing import choose_service
+from heathertackd import _clock
+from heathertackd._instance import Instance
+from heathertackd._refusals import RefusedError, not_run
+from heathertackd._sockets import open_target_socket
+from heathertackd.forwarding._bodies import read_body
+from heathertackd.forwarding._context import ForwardingContext
+from heathertackd.forwarding._dialect import ForwardingDialect, RequestHead
+from heathertackd.forwarding._order import ForwardOrder, find_deadline, find_priority
+from heathertackd.forwarding._retry_limits import RetryLimits
+from heathertackd.forwarding._session import ForwardingSession
+from heathertackd.forwarding._target_client import TargetClient
+
+#: Callers may come back this long after an instance without a bundle sent them
+#: away, seconds; most leases are renewed within it.
+_UNCONFIRMED_RETRY_SECONDS = 0.5
+_DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+_DEFAULT_BODY_SECONDS = 20.0
+
+
+def open_forwarding_session() -> aiohttp.ClientSession:
+    """Return a session that keeps no connections and decodes no bodies."""
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=open_target_socket
+    )
+    return aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
+    )
+
+
+class Forwarder:
+    """Serves the routes of the bundle.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    session : aiohttp.ClientSession
+        Session of :func:`open_forwarding_session`.
+    dialect : ForwardingDialect
+        Reads and writes headers.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        session: aiohttp.ClientSession,
+        dialect: ForwardingDialect,
+    ) -> None:
+        self._instance = instance
+        self._dialect = dialect
+        self._context = ForwardingContext(
+            instance,
+            TargetClient(session, dialect),
+            dialect,
+            RetryLimits(instance.board, instance.retry_allowance),
+        )
+        self._numbers = count(1)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        received_at = _clock.monotonic()
+        drain = self._instance.drain
+        drain.handle(RequestOpened(), received_at)
+        try:
+            order = await self._admit(request, received_at)
+        except RefusedError as error:
+            drain.handle(RequestClosed(), _clock.monotonic())
+            return self._refuse(request, error.refusal)
+        except BaseException:
+            drain.handle(RequestClosed(), _clock.monotonic())
+            raise
+        session = ForwardingSession(self._context, order, request)
+        try:
+            return await session.run()
+        finally:
+            drain.handle(RequestClosed(), _clock.monotonic())
+
+    def _refuse(self, request: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
+        self._instance.metrics.refusals.labels("", refusal.code).inc()
+        view = self._instance.board.read(BUNDLE)
+        self._instance.logger.info(
+            "request_refused",
+            request_id=request.headers.get("X-Request-Id", ""),
+            code=refusal.code,
+            detail=refusal.message,
+            execution=refusal.execution.value,
+            bundle_index=view.log_index,
+        )
+        return self._context.refuse(refusal)
+
+    async def _admit(
+        self, request: web.BaseRequest, received_at: float
+    ) -> ForwardOrder:
+        """Return the checked request.
+
+        Raises
+        ------
+        RefusedError
+            If it can't be served.
+        """
+        view = self._instance.board.read(BUNDLE)
+        bundle = view.bundle
+        if bundle is None:
+            message = "no bundle is in force yet"
+            raise RefusedError(
+                not_run("unconfirmed", message, _UNCONFIRMED_RETRY_SECONDS)
+            )
+        path = request.raw_path
+        match = view.routes.find(request.headers.get("Host", ""), path)
+        if match is None:
+            raise RefusedError(not_run("unknown_service", f"no route leads to {path}"))
+        head = self._read_head(request)
+        account = self._identify(view, bundle, match.route, head)
+        body = await self._read_body(request, bundle)
+        service = choose_service(match.route, head.request_id)
+        engine = bundle["services"][service].get("engine")
+        return ForwardOrder(
+            key=f"{self._instance.name}.{self._instance.incarnation:x}."
+            f"{next(self._numbers)}",
+            head=head,
+            method=request.method,
+            path=path,
+            body=body,
+            route_name=match.name,
+            route=match.route,
+            service=service,
+            account=account,
+            priority=find_priority(bundle, account, match.route),
+            received_at=received_at,
+            deadline=find_deadline(head, match.route, received_at),
+            bundle_index=view.log_index,
+            has_backups=engine is not None and engine.get("backups", False),
+            event_tokens=engine.get("event_tokens", 1) if engine is not None else 1,
+        )
+
+    def _read_head(self, request: web.BaseRequest) -> RequestHead:
+        result = self._dialect.read_request(request.headers)
+        if isinstance(result, Failure):
+            raise RefusedError(not_run("invalid_request", result.failure()))
+        head: RequestHead = result.unwrap()
+        return head
+
+    def _identify(
+        self,
+        view: BundleView,
+        bundle: Bundle,
+        route: ForwardingRoute,
+        head: RequestHead,
+    ) -> str:
+        """Return the client account of a request, empty for a public route."""
+        if route.get("public", False):
+            return ""
+        if not self._instance.board.read(LEASE).is_valid(_clock.monotonic()):
+            message = "this instance can't confirm the current bundle"
+            raise RefusedError(
+                not_run("unconfirmed", message, _UNCONFIRMED_RETRY_SECONDS)
+            )
+        digest = hashlib.sha256(head.caller_key.encode()).hexdigest()
+        account = view.accounts.get(digest)
+        if account is None:
+            code = "wrong_key" if head.caller_key else "missing_key"
+            message = "the caller key belongs to no client account"
+            raise RefusedError(not_run(code, message))
+        return account
+
+    async def _read_body(self, request: web.BaseRequest, bundle: Bundle) -> bytes:
+        limits = bundle.get("limits")
+        if limits is None:
+            return await read_body(request, _DEFAULT_BODY_BYTES, _DEFAULT_BODY_SECONDS)
+        return await read_body(
+            request, limits["max_body_bytes"], limits["idle_timeout"]
+        )
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -0,0 +1,472 @@
+"""One forwarded request from its placement to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure
+
+from heathertack.blackboard import TARGETS
+from heathertack.controllers import (
+    Execution,
+    PlacementDenied,
+    PlacementEnded,
+    PlacementWanted,
+    Refusal,
+    TargetChosen,
+    TargetFailed,
+    TargetSucceeded,
+    TokensMade,
+)
+from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
+from heathertackd import _clock
+from heathertackd._refusals import not_run
+from heathertackd.forwarding._context import ForwardingContext
+from heathertackd.forwarding._dialect import TargetSend
+from heathertackd.forwarding._event_splitter import EventSplitter, StreamEvent
+from heathertackd.forwarding._order import ForwardOrder, build_reservation
+from heathertackd.forwarding._target_client import (
+    ExchangeError,
+    ExchangeFailure,
+    TargetAnswer,
+    TargetRequest,
+)
+
+#: Time after which a refused caller may come back where nothing better is known,
+#: seconds.
+_RETRY_AFTER_SECONDS = 0.5
+#: Less time than this is not worth a send, seconds.
+_LEAST_SEND_SECONDS = 0.02
+_SERVER_ERROR = 500
+#: Targets that may refuse the connection of one request.
+_MOST_CONNECTS = 4
+
+_OUTCOMES = {
+    ExchangeFailure.NOT_SENT: ReservationOutcome.UNREACHABLE,
+    ExchangeFailure.NOT_RUN: ReservationOutcome.REJECTED,
+    ExchangeFailure.MAY_HAVE_RUN: ReservationOutcome.TARGET_LOST,
+}
+
+
+class _Continuation(NamedTuple):
+    """Where a stream that broke off can go on."""
+
+    #: Target that keeps a copy of the memory, empty for a new run.
+    target: str
+
+
+class ForwardingSession:
+    """Forwards one request, to further targets where that does no harm.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+        Collaborators.
+    order : ForwardOrder
+        The checked request.
+    request : web.BaseRequest
+        Request of the caller.
+    """
+
+    def __init__(
+        self, context: ForwardingContext, order: ForwardOrder, request: web.BaseRequest
+    ) -> None:
+        self._context = context
+        self._instance = context.instance
+        self._client = context.client
+        self._dialect = context.dialect
+        self._retries = context.retries
+        self._order = order
+        self._request = request
+        self._attempt = 0
+        self._sends = 0
+        self._excluded: tuple[str, ...] = ()
+        self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
+        self._placed: TargetChosen | None = None
+        self._may_have_run = False
+        self._response: web.StreamResponse | None = None
+        self._last_event_id = order.head.last_event_id
+        self._events = 0
+        self._last_event_at = 0.0
+        self._longest_gap = 0.0
+        account = context.instance.metrics.account_label(order.account)
+        self._labels = (account, order.service)
+
+    async def run(self) -> web.StreamResponse:
+        """Serve the request and return the response that was sent."""
+        order = self._order
+        self._instance.listen(order.key, self)
+        self._retries.note_request(order.service)
+        try:
+            async with asyncio.timeout(order.deadline - _clock.monotonic()):
+                return await self._serve()
+        except TimeoutError:
+            return self._end_late()
+        except asyncio.CancelledError:
+            self._end("caller_left", ReservationOutcome.CANCELLED)
+            raise
+        except (ConnectionError, aiohttp.ClientError) as error:
+            self._end("caller_lost", ReservationOutcome.CANCELLED, repr(error))
+            raise
+        finally:
+            self._release(ReservationOutcome.CANCELLED)
+            self._instance.stop_listening(order.key)
+
+    def take_placement(self, decision: TargetChosen | PlacementDenied) -> None:
+        """Take the decision of admission."""
+        waiting = self._decision
+        is_current = decision.attempt == self._attempt
+        if waiting is not None and is_current and not waiting.done():
+            waiting.set_result(decision)
+
+    async def _serve(self) -> web.StreamResponse:
+        continuation: _Continuation | None = None
+        while True:
+            decision = await self._place(continuation)
+            if isinstance(decision, PlacementDenied):
+                return self._deny(decision)
+            error = await self._try_target(decision, continuation)
+            if error is None and self._response is not None:
+                return self._response
+            if error is None:
+                continuation = _Continuation(decision.backup)
+                if not self._may_continue(decision):
+                    return self._break_off("the stream broke and can't be continued")
+                self._note_continuation(decision)
+                continue
+            if not self._may_try_again(error):
+                return self._fail(error)
+
+    async def _place(
+        self, continuation: _Continuation | None
+    ) -> TargetChosen | PlacementDenied:
+        """Wait until admission names a target or refuses."""
+        self._attempt += 1
+        self._decision = asyncio.get_running_loop().create_future()
+        now = _clock.monotonic()
+        reservation = build_reservation(self._order, self._attempt, self._excluded, now)
+        if continuation is not None:
+            reservation = reservation._replace(
+                preferred=continuation.target,
+                patience=max(self._order.deadline - now, 0.0),
+            )
+        wanted = PlacementWanted(reservation)
+        self._instance.carry_out(self._instance.placement.handle(wanted, now))
+        decision = await self._decision
+        self._placed = decision if isinstance(decision, TargetChosen) else None
+        waited = _clock.monotonic() - now
+        self._instance.metrics.queue_wait.labels(*self._labels).observe(waited)
+        return decision
+
+    async def _try_target(
+        self, placed: TargetChosen, continuation: _Continuation | None
+    ) -> ExchangeError | None:
+        """Send the request to a target and deliver its answer.
+
+        Returns
+        -------
+        ExchangeError or None
+            Why there is no answer; ``None`` if it was delivered, or if its stream
+            broke off and may be continued.
+        """
+        record = self._instance.board.read(TARGETS).get(placed.target)
+        if record is None:
+            gone = ExchangeError(ExchangeFailure.NOT_SENT, "the target is gone")
+            self._note_failure(placed, gone)
+            return gone
+        target_request = self._build_request(record, placed, continuation)
+        self._sends += 1
+        self._log("request_sent", target=placed.target, reason=placed.reason)
+        result = await self._client.send(target_request)
+        if isinstance(result, Failure):
+            error: ExchangeError = result.failure()
+            self._note_failure(placed, error)
+            return error
+        return await self._deliver(placed, result.unwrap())
+
+    def _build_request(
+        self,
+        record: TargetRecord,
+        placed: TargetChosen,
+        continuation: _Continuation | None,
+    ) -> TargetRequest:
+        order = self._order
+        targets = self._instance.board.read(TARGETS)
+        backup = targets.get(placed.backup)
+        copy = targets.get(continuation.target) if continuation is not None else None
+        send = TargetSend(
+            target=record.name,
+            account=order.account,
+            time_left=max(order.deadline - _clock.monotonic(), _LEAST_SEND_SECONDS),
+            backup_address=backup.address if backup is not None else "",
+            copy_address=copy.address if copy is not None else "",
+            last_event_id=self._last_event_id,
+        )
+        return TargetRequest(
+            record.address,
+            order.method,
+            order.path,
+            self._dialect.encode_send(order.head, send),
+            order.body,
+            order.head.request_id,
+        )
+
+    async def _deliver(
+        self, placed: TargetChosen, answer: TargetAnswer
+    ) -> ExchangeError | None:
+        try:
+            is_success = answer.head.status < 300
+            if self._order.is_stream and is_success:
+                return await self._deliver_stream(placed, answer)
+            return await self._deliver_whole(placed, answer)
+        finally:
+            answer.close()
+
+    async def _deliver_whole(
+        self, placed: TargetChosen, answer: TargetAnswer
+    ) -> ExchangeError | None:
+        result = await answer.read()
+        if isinstance(result, Failure):
+            error: ExchangeError = result.failure()
+            self._note_failure(placed, error)
+            return error
+        status = answer.head.status
+        if status >= _SERVER_ERROR and self._may_repeat():
+            error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
+            self._log("target_answered_error", target=placed.target, status=status)
+            self._release(ReservationOutcome.FINISHED)
+            return error
+        if self._response is not None:
+            error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
+            self._note_failure(placed, error)
+            return error
+        self._note_success(placed)
+        self._response = web.Response(
+            status=status, headers=answer.head.headers, body=result.unwrap()
+        )
+        self._end("answered", ReservationOutcome.FINISHED, f"status {status}")
+        return None
+
+    async def _deliver_stream(
+        self, placed: TargetChosen, answer: TargetAnswer
+    ) -> ExchangeError | None:
+        """Deliver events until the stream of the target ends."""
+        splitter = EventSplitter()
+        try:
+            async for chunk in answer.read_chunks():
+                events = self._select_new(splitter.feed(chunk))
+                if events:
+                    await self._write_events(placed, answer, events)
+        except (aiohttp.ClientPayloadError, ValueError) as error:
+            return self._take_break(placed, repr(error))
+        except (aiohttp.ClientError, OSError) as error:
+            if self._request.transport is None:
+                raise
+            return self._take_break(placed, repr(error))
+        if splitter.rest or self._response is None:
+            return self._take_break(placed, "the stream ended within an event")
+        await self._response.write_eof()
+        self._note_success(placed)
+        self._note_gap()
+        self._end("streamed", ReservationOutcome.FINISHED, f"{self._events} events")
+        return None
+
+    def _select_new(self, events: tuple[StreamEvent, ...]) -> tuple[StreamEvent, ...]:
+        """Leave out events that an earlier target delivered."""
+        if not self._last_event_id.isdigit():
+            return events
+        last = int(self._last_event_id)
+        return tuple(
+            event
+            for event in events
+            if not event.event_id.isdigit() or int(event.event_id) > last
+        )
+
+    async def _write_events(
+        self,
+        placed: TargetChosen,
+        answer: TargetAnswer,
+        events: tuple[StreamEvent, ...],
+    ) -> None:
+        now = _clock.monotonic()
+        if self._response is None:
+            self._response = web.StreamResponse(
+                status=answer.head.status, headers=answer.head.headers
+            )
+            await self._response.prepare(self._request)
+            waited = now - self._order.received_at
+            self._instance.metrics.first_token.labels(*self._labels).observe(waited)
+        else:
+            gap = now - self._last_event_at
+            self._longest_gap = max(self._longest_gap, gap)
+            self._instance.metrics.token_gap.labels(*self._labels).observe(gap)
+        self._last_event_at = now
+        self._events += len(events)
+        self._last_event_id = events[-1].event_id or self._last_event_id
+        self._report_made(now)
+        await self._response.write(b"".join(event.data for event in events))
+
+    def _report_made(self, now: float) -> None:
+        made = TokensMade(self._order.key, self._events * self._order.event_tokens)
+        self._instance.carry_out(self._instance.placement.handle(made, now))
+
+    def _take_break(self, placed: TargetChosen, detail: str) -> ExchangeError | None:
+        """Note that a stream broke off.
+
+        Returns
+        -------
+        ExchangeError or None
+            The error of a stream that never began; ``None`` if it may go on.
+        """
+        error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
+        self._note_failure(placed, error)
+        began = self._events > 0 or placed.backup
+        return None if began else error
+
+    def _may_continue(self, broken: TargetChosen) -> bool:
+        """Tell whether a stream can go on at another target."""
+        if broken.backup:
+            return True
+        may_resume = self._order.route["kind"] == "resumable"
+        return may_resume and self._retries.try_spend(self._order.service)
+
+    def _note_continuation(self, broken: TargetChosen) -> None:
+        self._instance.metrics.resumes.inc()
+        self._log(
+            "stream_continued",
+            lost=broken.target,
+            at=broken.backup,
+            last_event_id=self._last_event_id,
+        )
+
+    def _may_repeat(self) -> bool:
+        """Tell whether the request may run at one more target."""
+        order = self._order
+        has_attempts = self._sends < order.route["max_attempts"]
+        return order.may_run_again and has_attempts and self._has_time()
+
+    def _may_try_again(self, error: ExchangeError) -> bool:
+        if self._response is not None or not self._has_time():
+            return False
+        if error.failure is ExchangeFailure.NOT_SENT:
+            self._sends -= 1
+            return self._attempt <= _MOST_CONNECTS
+        if error.failure is ExchangeFailure.MAY_HAVE_RUN:
+            self._may_have_run = True
+            if not self._order.may_run_again:
+                return False
+        has_attempts = self._sends < self._order.route["max_attempts"]
+        return has_attempts and self._retries.try_spend(self._order.service)
+
+    def _has_time(self) -> bool:
+        return self._order.deadline - _clock.monotonic() > _LEAST_SEND_SECONDS
+
+    def _deny(self, decision: PlacementDenied) -> web.StreamResponse:
+        if self._response is not None:
+            return self._break_off(decision.reason)
+        if self._may_have_run:
+            return self._answer_unknown(decision.reason)
+        refusal = not_run(decision.code, decision.reason, decision.retry_after)
+        return self._refuse(refusal)
+
+    def _fail(self, error: ExchangeError) -> web.StreamResponse:
+        if self._response is not None:
+            return self._break_off(error.detail)
+        if self._may_have_run:
+            return self._answer_unknown(error.detail)
+        message = f"the target did not run the request: {error.detail}"
+        return self._refuse(not_run("no_target", message, _RETRY_AFTER_SECONDS))
+
+    def _answer_unknown(self, detail: str) -> web.StreamResponse:
+        """Answer a request that may have run and whose answer is lost."""
+        message = f"the answer of the target is lost: {detail}"
+        return self._refuse(Refusal("target_lost", message, Execution.UNKNOWN, None))
+
+    def _refuse(self, refusal: Refusal, status: int | None = None) -> web.Response:
+        self._instance.metrics.refusals.labels(self._labels[0], refusal.code).inc()
+        self._end(refusal.code, ReservationOutcome.CANCELLED, refusal.message)
+        return self._context.refuse(refusal, status)
+
+    def _break_off(self, detail: str) -> web.StreamResponse:
+        """Close the caller's connection, so that the answer looks incomplete."""
+        if self._response is None:
+            return self._answer_unknown(detail)
+        self._end("broken_off", ReservationOutcome.CANCELLED, detail)
+        if self._request.transport is not None:
+            self._request.transport.abort()
+        return self._response
+
+    def _end_late(self) -> web.StreamResponse:
+        """Answer a request whose time is over."""
+        if self._response is not None:
+            return self._break_off("the time of the request is over")
+        if self._sends or self._may_have_run:
+            message = "the target did not answer in time"
+            refusal = Refusal("timeout", message, Execution.UNKNOWN, None)
+            return self._refuse(refusal, status=504)
+        message = "no target had room in time"
+        return self._refuse(not_run("overloaded", message, _RETRY_AFTER_SECONDS), 503)
+
+    def _note_failure(self, placed: TargetChosen, error: ExchangeError) -> None:
+        self._log(
+            "target_failed",
+            target=placed.target,
+            failure=error.failure.value,
+            detail=error.detail,
+            events=self._events,
+        )
+        self._excluded = (*self._excluded, placed.target)
+        record = self._instance.board.read(TARGETS).get(placed.target)
+        is_leaving = record is None or record.state is not TargetState.LIVE
+        outcome = _OUTCOMES[error.failure]
+        if is_leaving and outcome is ReservationOutcome.TARGET_LOST:
+            outcome = ReservationOutcome.UNREACHABLE
+        if error.failure is not ExchangeFailure.NOT_RUN:
+            now = _clock.monotonic()
+            self._instance.health.handle(TargetFailed(placed.target), now)
+        self._release(outcome)
+
+    def _note_success(self, placed: TargetChosen) -> None:
+        now = _clock.monotonic()
+        self._instance.health.handle(TargetSucceeded(placed.target), now)
+
+    def _note_gap(self) -> None:
+        self._instance.metrics.stall.labels(*self._labels).observe(self._longest_gap)
+
+    def _release(self, outcome: ReservationOutcome) -> None:
+        """Free the place at the target, once."""
+        if self._decision is None:
+            return
+        self._decision = None
+        self._placed = None
+        ended = PlacementEnded(self._order.key, outcome)
+        now = _clock.monotonic()
+        self._instance.carry_out(self._instance.placement.handle(ended, now))
+
+    def _end(self, end: str, outcome: ReservationOutcome, detail: str = "") -> None:
+        """Log and count the final answer."""
+        placed = self._placed
+        self._release(outcome)
+        self._instance.metrics.requests.labels(*self._labels, end).inc()
+        self._log(
+            "request_ended",
+            end=end,
+            detail=detail,
+            target=placed.target if placed is not None else "",
+            seconds=round(_clock.monotonic() - self._order.received_at, 3),
+            longest_gap=round(self._longest_gap, 3),
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._instance.logger.info(
+            event,
+            request_id=self._order.head.request_id,
+            account=self._order.account,
+            route=self._order.route_name,
+            bundle_index=self._order.bundle_index,
+            attempt=self._attempt,
+            **fields,
+        )
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -0,0 +1,74 @@
+"""The product's own headers of forwarded requests."""
+
+from __future__ import annotations
+
+import math
+
+from multidict import CIMultiDict
+from returns.result import Failure, Result, Success
+
+from heathertackd.forwarding._dialect import (
+    AnswerHead,
+    Headers,
+    RequestHead,
+    TargetSend,
+)
+from heathertackd.forwarding._hop_headers import copy_end_to_end
+
+_REQUEST_ID = "X-Request-Id"
+_TIMEOUT = "X-Request-Timeout"
+_TARGET = "X-Heathertack-Target"
+_ACCOUNT = "X-Client-Account"
+_NOT_RUN = "X-Heathertack-Not-Run"
+_OWN_HEADERS = frozenset(
+    {"authorization", _TIMEOUT.lower(), _TARGET.lower(), _ACCOUNT.lower()}
+)
+
+
+class StandardDialect:
+    """Bearer keys, timeouts in seconds, and answers that repeat the request id."""
+
+    def read_request(self, headers: Headers) -> Result[RequestHead, str]:
+        """Return what a request says, or what is wrong with it."""
+        request_id = headers.get(_REQUEST_ID, "")
+        if not request_id:
+            return Failure(f"the request has no {_REQUEST_ID}")
+        scheme, _, key = headers.get("Authorization", "").partition(" ")
+        if scheme not in ("", "Bearer"):
+            return Failure(f"authorization scheme {scheme!r}, expected 'Bearer'")
+        text = headers.get(_TIMEOUT, "")
+        try:
+            patience = float(text) if text else None
+        except ValueError:
+            return Failure(f"{_TIMEOUT} is {text!r}, expected a number of seconds")
+        kept = copy_end_to_end(headers, _OWN_HEADERS)
+        last_event_id = headers.get("Last-Event-Id", "")
+        return Success(
+            RequestHead(request_id, key, patience, kept, last_event_id=last_event_id)
+        )
+
+    def encode_send(self, head: RequestHead, send: TargetSend) -> CIMultiDict[str]:
+        """Return the headers of a request for a target."""
+        headers = head.headers.copy()
+        headers[_TARGET] = send.target
+        headers[_TIMEOUT] = f"{send.time_left:.3f}"
+        if send.account:
+            headers[_ACCOUNT] = send.account
+        if send.last_event_id:
+            headers["Last-Event-Id"] = send.last_event_id
+        return headers
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Return what an answer of a target says."""
+        request_id = headers.get(_REQUEST_ID, "")
+        return AnswerHead(
+            status,
+            request_id,
+            is_signed=bool(request_id),
+            has_not_run=_NOT_RUN in headers,
+            headers=copy_end_to_end(headers),
+        )
+
+    def format_retry_after(self, seconds: float) -> str:
+        """Return whole seconds, as RFC 9110 has it."""
+        return str(math.ceil(seconds))
