--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -58,6 +58,10 @@
     target: str
 
 
+#: The final answer, a stream that broke off, or why there is no answer.
+_Result = web.StreamResponse | _Continuation | ExchangeError
+
+
 class ForwardingSession:
     """Forwards one request, to further targets where that does no harm.
 
@@ -128,17 +132,16 @@
             decision = await self._place(continuation)
             if isinstance(decision, PlacementDenied):
                 return self._deny(decision)
-            error = await self._try_target(decision, continuation)
-            if error is None and self._response is not None:
-                return self._response
-            if error is None:
-                continuation = _Continuation(decision.backup)
-                if not self._may_continue(decision):
+            result = await self._try_target(decision, continuation)
+            if isinstance(result, web.StreamResponse):
+                return result
+            if isinstance(result, _Continuation):
+                continuation = result
+                if not self._may_continue(result):
                     return self._break_off("the stream broke and can't be continued")
-                self._note_continuation(decision)
-                continue
-            if not self._may_try_again(error):
-                return self._fail(error)
+                self._note_continuation(decision, result)
+            elif not self._may_try_again(result):
+                return self._fail(result)
 
     async def _place(
         self, continuation: _Continuation | None
@@ -163,15 +166,8 @@
 
     async def _try_target(
         self, placed: TargetChosen, continuation: _Continuation | None
-    ) -> ExchangeError | None:
-        """Send the request to a target and deliver its answer.
-
-        Returns
-        -------
-        ExchangeError or None
-            Why there is no answer; ``None`` if it was delivered, or if its stream
-            broke off and may be continued.
-        """
+    ) -> _Result:
+        """Send the request to a target and deliver its answer."""
         record = self._instance.board.read(TARGETS).get(placed.target)
         if record is None:
             gone = ExchangeError(ExchangeFailure.NOT_SENT, "the target is gone")
@@ -214,9 +210,7 @@
             order.head.request_id,
         )
 
-    async def _deliver(
-        self, placed: TargetChosen, answer: TargetAnswer
-    ) -> ExchangeError | None:
+    async def _deliver(self, placed: TargetChosen, answer: TargetAnswer) -> _Result:
         try:
             is_success = answer.head.status < 300
             if self._order.is_stream and is_success:
@@ -227,7 +221,7 @@
 
     async def _deliver_whole(
         self, placed: TargetChosen, answer: TargetAnswer
-    ) -> ExchangeError | None:
+    ) -> _Result:
         result = await answer.read()
         if isinstance(result, Failure):
             error: ExchangeError = result.failure()
@@ -237,6 +231,7 @@
         if status >= _SERVER_ERROR and self._may_repeat():
             error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
             self._log("target_answered_error", target=placed.target, status=status)
+            self._excluded = (*self._excluded, placed.target)
             self._release(ReservationOutcome.FINISHED)
             return error
         if self._response is not None:
@@ -248,11 +243,11 @@
             status=status, headers=answer.head.headers, body=result.unwrap()
         )
         self._end("answered", ReservationOutcome.FINISHED, f"status {status}")
-        return None
+        return self._response
 
     async def _deliver_stream(
         self, placed: TargetChosen, answer: TargetAnswer
-    ) -> ExchangeError | None:
+    ) -> _Result:
         """Deliver events until the stream of the target ends."""
         splitter = EventSplitter()
         try:
@@ -272,7 +267,7 @@
         self._note_success(placed)
         self._note_gap()
         self._end("streamed", ReservationOutcome.FINISHED, f"{self._events} events")
-        return None
+        return self._response
 
     def _select_new(self, events: tuple[StreamEvent, ...]) -> tuple[StreamEvent, ...]:
         """Leave out events that an earlier target delivered."""
@@ -313,32 +308,29 @@
         made = TokensMade(self._order.key, self._events * self._order.event_tokens)
         self._instance.carry_out(self._instance.placement.handle(made, now))
 
-    def _take_break(self, placed: TargetChosen, detail: str) -> ExchangeError | None:
-        """Note that a stream broke off.
-
-        Returns
-        -------
-        ExchangeError or None
-            The error of a stream that never began; ``None`` if it may go on.
-        """
+    def _take_break(self, placed: TargetChosen, detail: str) -> _Result:
+        """Note that a stream broke off, and tell where it may go on."""
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
         self._note_failure(placed, error)
-        began = self._events > 0 or placed.backup
-        return None if began else error
+        if self._events or placed.backup:
+            return _Continuation(placed.backup)
+        return error
 
-    def _may_continue(self, broken: TargetChosen) -> bool:
+    def _may_continue(self, continuation: _Continuation) -> bool:
         """Tell whether a stream can go on at another target."""
-        if broken.backup:
+        if continuation.target:
             return True
         may_resume = self._order.route["kind"] == "resumable"
         return may_resume and self._retries.try_spend(self._order.service)
 
-    def _note_continuation(self, broken: TargetChosen) -> None:
+    def _note_continuation(
+        self, broken: TargetChosen, continuation: _Continuation
+    ) -> None:
         self._instance.metrics.resumes.inc()
         self._log(
             "stream_continued",
             lost=broken.target,
-            at=broken.backup,
+            at=continuation.target,
             last_event_id=self._last_event_id,
         )
 
