--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -68,6 +68,7 @@
         self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
         self._slots: dict[str, int] = {}
+        self._moving: dict[str, frozenset[str]] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
         self._losses: dict[str, int] = {}
@@ -173,6 +174,8 @@
         held = self._held.get(generation_id)
         if held is None:
             return generation_id in self._queue
+        if made:
+            self._moving.pop(generation_id, None)
         self._charge(held, made)
         self._hold(
             held.request, held.instance, held.target, made, now, backup=held.backup
@@ -375,7 +378,8 @@
 
     def _candidates(self, request: ReservationRequest, now: float) -> tuple[str, ...]:
         usable = tuple(t for t in self._usable if t not in request.excluded)
-        usable = usable or tuple(self._usable)
+        if not usable and not request.is_running:
+            usable = tuple(self._usable)
         willing = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
         return willing or usable
 
@@ -385,12 +389,15 @@
         ledger = self._ledgers[target]
         if ledger.count >= min(tuning.batch_limit, self._slots[target]):
             return None
+        if request.is_running and self._is_link_busy(request, target):
+            return None
         if not ledger.capacity:
             return ledger.count / self._slots[target]
         saved = self._prefixes[target].saved_tokens(request.prefix)
         prompt = max(request.prompt_tokens - saved, 0)
         waiting = ledger.waiting_prompt_tokens
-        if waiting and waiting + prompt > tuning.prefill_budget:
+        reads_prompt = not request.is_running
+        if reads_prompt and waiting and waiting + prompt > tuning.prefill_budget:
             return None
         capacity = max(ledger.capacity, 1)
         candidate = self._predict(request, 0)
@@ -404,6 +411,15 @@
             return None
         return (peak - tuning.prefix_weight * saved) / capacity
 
+    def _is_link_busy(self, request: ReservationRequest, target: str) -> bool:
+        """Tell whether a move from or to one of two targets is in progress.
+
+        Moves of one link wait for each other, and a run stands still while the rest
+        of its memory waits.
+        """
+        ends = frozenset((*request.excluded, target))
+        return any(ends & busy for busy in self._moving.values())
+
     def _choose_backup(self, request: ReservationRequest, target: str) -> str:
         """Return the target with the most room for a copy, empty if none has any."""
         entry = self._predict(request, 0)
@@ -437,6 +453,9 @@
         ledger = self._ledgers[target]
         before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
         backup = self._choose_backup(request, target) if request.wants_backup else ""
+        if request.is_running:
+            ends = frozenset((*request.excluded, target))
+            self._moving[request.generation_id] = ends
         self._hold(request, waiting.instance, target, 0, now, backup=backup)
         self._prefixes[target].note_sent(request.prefix)
         self._queue.charge(request.account, request.share, request.prompt_tokens)
@@ -468,13 +487,14 @@
         entry = LedgerEntry(request.prompt_tokens + made, max(length - made, 1))
         ledger = self._ledgers.get(target)
         if ledger is not None:
-            ledger.reserve(key, entry, started=made > 0)
+            ledger.reserve(key, entry, started=made > 0 or request.is_running)
         copies = self._ledgers.get(backup)
         if copies is not None:
             copies.reserve(_backup_key(key), entry, started=True)
 
     def _drop(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
+        self._moving.pop(generation_id, None)
         if held is None:
             return
         if held.target in self._ledgers:
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -36,6 +36,8 @@
     preferred: str = ""
     #: Whether a second target is to keep a copy of the generation's memory.
     wants_backup: bool = False
+    #: Whether it runs already and moves with its memory, so that no prompt is read.
+    is_running: bool = False
 
 
 class ReservationGrant(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/forwarding/_context.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_context.py
@@ -10,7 +10,9 @@
 from heathertackd._instance import Instance
 from heathertackd._refusals import refusal_response
 from heathertackd.forwarding._dialect import ForwardingDialect
+from heathertackd.forwarding._memory import MemoryMover
 from heathertackd.forwarding._retry_limits import RetryLimits
+from heathertackd.forwarding._stream_keeper import StreamKeeper
 from heathertackd.forwarding._target_client import TargetClient
 
 
@@ -21,6 +23,9 @@
     client: TargetClient
     dialect: ForwardingDialect
     retries: RetryLimits
+    keeper: StreamKeeper
+    #: Moves the memory of generations, where the engines can do that.
+    mover: MemoryMover | None
 
     def refuse(self, refusal: Refusal, status: int | None = None) -> web.Response:
         """Return the answer of a refused request."""
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -59,6 +59,8 @@
     backup_address: str = ""
     #: Address of the target that holds a copy to continue from, empty for none.
     copy_address: str = ""
+    #: Id of that copy; empty for the one kept since the start of the run.
+    copy_id: str = ""
     #: Id of the last event that was delivered, empty for none.
     last_event_id: str = ""
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -20,9 +20,11 @@
 from heathertackd.forwarding._bodies import read_body
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import ForwardingDialect, RequestHead
+from heathertackd.forwarding._memory import MemoryMover
 from heathertackd.forwarding._order import ForwardOrder, find_deadline, find_priority
 from heathertackd.forwarding._retry_limits import RetryLimits
 from heathertackd.forwarding._session import ForwardingSession
+from heathertackd.forwarding._stream_keeper import StreamKeeper
 from heathertackd.forwarding._target_client import TargetClient
 
 #: Callers may come back this long after an instance without a bundle sent them
@@ -53,6 +55,8 @@
         Session of :func:`open_forwarding_session`.
     dialect : ForwardingDialect
         Reads and writes headers.
+    mover : MemoryMover or None
+        Moves the memory of generations, where the engines can do that.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         instance: Instance,
         session: aiohttp.ClientSession,
         dialect: ForwardingDialect,
+        mover: MemoryMover | None = None,
     ) -> None:
         self._instance = instance
         self._dialect = dialect
@@ -68,9 +73,15 @@
             TargetClient(session, dialect),
             dialect,
             RetryLimits(instance.board, instance.retry_allowance),
+            StreamKeeper(),
+            mover,
         )
         self._numbers = count(1)
 
+    async def keep_streams(self) -> None:
+        """Look after open streams until cancelled."""
+        await self._context.keeper.run()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         received_at = _clock.monotonic()
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_memory.py
@@ -0,0 +1,58 @@
+"""Moving the memory of a running generation to another target."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from heathertack.blackboard import TARGETS, Blackboard
+from heathertack.controllers import TargetChosen
+from heathertack.messages import TargetState
+
+
+class MemoryMover(Protocol):
+    """Calls to engines that copy the memory of generations."""
+
+    async def copy(
+        self, source: str, request_id: str, destination: str
+    ) -> Result[None, str]:
+        """Copy what a run holds, while it goes on.
+
+        Parameters
+        ----------
+        source, destination : str
+            ``ip:port`` of the engines.
+        request_id : str
+            Id of the request that runs.
+        """
+        ...
+
+    async def hand_over(
+        self, source: str, request_id: str, destination: str
+    ) -> Result[str, str]:
+        """Stop a run, copy the rest and return the id of the copy."""
+        ...
+
+    async def discard(self, keeper: str, copy_id: str) -> Result[None, str]:
+        """Free the memory of a copy that is of no use any more."""
+        ...
+
+
+class Continuation(NamedTuple):
+    """Where a stream that broke off can go on."""
+
+    #: Target that keeps a copy of the memory, empty for a new run.
+    target: str
+    #: Address that vouches for the copy, and the id of the copy; empty for the copy
+    #: that a target keeps since the start of the run.
+    copy_address: str = ""
+    copy_id: str = ""
+    #: The place that admission has already given.
+    placed: TargetChosen | None = None
+
+
+def is_protected(board: Blackboard, placed: TargetChosen) -> bool:
+    """Tell whether a stream could go on if its target were lost now."""
+    backup = board.read(TARGETS).get(placed.backup)
+    return backup is not None and backup.state is TargetState.LIVE
--- a/packages/heathertackd/src/heathertackd/forwarding/_order.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_order.py
@@ -114,6 +114,35 @@
     )
 
 
+def reserve_running(
+    order: ForwardOrder, number: int, made: int, source: str, now: float
+) -> ReservationRequest:
+    """Return the request for a place to which a run can move.
+
+    Parameters
+    ----------
+    order : ForwardOrder
+        The request that runs.
+    number : int
+        Number of the move, from 1.
+    made : int
+        Tokens made so far.
+    source : str
+        Target that it runs on.
+    now : float
+        Monotonic clock, seconds.
+    """
+    reservation = build_reservation(order, 1, (source,), now)
+    return reservation._replace(
+        generation_id=f"{order.key}.{number}",
+        prompt_tokens=reservation.prompt_tokens + made,
+        max_tokens=max(reservation.max_tokens - made, 1),
+        expected_tokens=max(reservation.expected_tokens - made, 0),
+        prefix=(),
+        is_running=True,
+    )
+
+
 def _digest_parts(parts: tuple[PromptPart, ...]) -> tuple[int, ...]:
     """Return digests of the leading parts, one for each block of their tokens."""
     digests: list[int] = []
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from collections.abc import Mapping
 
 import aiohttp
 from aiohttp import web
@@ -27,7 +27,13 @@
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import TargetSend
 from heathertackd.forwarding._event_splitter import EventSplitter, StreamEvent
-from heathertackd.forwarding._order import ForwardOrder, build_reservation
+from heathertackd.forwarding._memory import Continuation, is_protected
+from heathertackd.forwarding._order import (
+    ForwardOrder,
+    build_reservation,
+    reserve_running,
+)
+from heathertackd.forwarding._stream_mover import StreamMover
 from heathertackd.forwarding._target_client import (
     ExchangeError,
     ExchangeFailure,
@@ -41,6 +47,10 @@
 #: Less time than this is not worth a send, seconds.
 _LEAST_SEND_SECONDS = 0.02
 _SERVER_ERROR = 500
+#: A run with fewer tokens to come ends before a move would help.
+_LEAST_MOVED_TOKENS = 40
+#: Wait for the end of a move whose run has stopped, seconds.
+_HAND_OVER_SECONDS = 0.5
 #: Targets that may refuse the connection of one request.
 _MOST_CONNECTS = 4
 
@@ -51,15 +61,8 @@
 }
 
 
-class _Continuation(NamedTuple):
-    """Where a stream that broke off can go on."""
-
-    #: Target that keeps a copy of the memory, empty for a new run.
-    target: str
-
-
 #: The final answer, a stream that broke off, or why there is no answer.
-_Result = web.StreamResponse | _Continuation | ExchangeError
+_Result = web.StreamResponse | Continuation | ExchangeError
 
 
 class ForwardingSession:
@@ -90,12 +93,25 @@
         self._excluded: tuple[str, ...] = ()
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
         self._placed: TargetChosen | None = None
+        self._has_place = False
         self._may_have_run = False
         self._response: web.StreamResponse | None = None
         self._last_event_id = order.head.last_event_id
         self._events = 0
         self._last_event_at = 0.0
         self._longest_gap = 0.0
+        #: Under which admission knows the place at the target.
+        self._place_key = order.key
+        #: Tokens made before that place was given.
+        self._made_before = 0
+        self._moves = 0
+        self._mover = (
+            StreamMover(
+                context.instance, context.mover, order.head.request_id, self._log
+            )
+            if context.mover is not None and order.wants_backup
+            else None
+        )
         account = context.instance.metrics.account_label(order.account)
         self._labels = (account, order.service)
 
@@ -116,6 +132,9 @@
             self._end("caller_lost", ReservationOutcome.CANCELLED, repr(error))
             raise
         finally:
+            self._context.keeper.remove(self)
+            if self._mover is not None:
+                self._mover.cancel()
             self._release(ReservationOutcome.CANCELLED)
             self._instance.stop_listening(order.key)
 
@@ -126,16 +145,41 @@
         if waiting is not None and is_current and not waiting.done():
             waiting.set_result(decision)
 
+    def check_protection(self) -> None:
+        """Begin to move if the stream would be lost with its target."""
+        now = _clock.monotonic()
+        placed = self._placed
+        if placed is None or self._mover is None or not self._events:
+            return
+        if not self._mover.may_begin(now):
+            return
+        if is_protected(self._instance.board, placed) or self._is_nearly_done():
+            return
+        self._moves += 1
+        reservation = reserve_running(
+            self._order, self._moves, self._made(), placed.target, now
+        )
+        self._mover.begin(placed, reservation)
+
+    def _made(self) -> int:
+        return self._events * self._order.event_tokens
+
+    def _is_nearly_done(self) -> bool:
+        size = self._order.head.size
+        if size is None:
+            return True
+        return size.max_tokens - self._made() < _LEAST_MOVED_TOKENS
+
     async def _serve(self) -> web.StreamResponse:
-        continuation: _Continuation | None = None
+        continuation: Continuation | None = None
         while True:
-            decision = await self._place(continuation)
+            decision = await self._find_place(continuation)
             if isinstance(decision, PlacementDenied):
                 return self._deny(decision)
             result = await self._try_target(decision, continuation)
             if isinstance(result, web.StreamResponse):
                 return result
-            if isinstance(result, _Continuation):
+            if isinstance(result, Continuation):
                 continuation = result
                 if not self._may_continue(result):
                     return self._break_off("the stream broke and can't be continued")
@@ -143,11 +187,27 @@
             elif not self._may_try_again(result):
                 return self._fail(result)
 
+    async def _find_place(
+        self, continuation: Continuation | None
+    ) -> TargetChosen | PlacementDenied:
+        """Return the place of a run that was moved, or ask for one."""
+        if continuation is None or continuation.placed is None:
+            return await self._place(continuation)
+        self._release(ReservationOutcome.CANCELLED)
+        self._place_key = continuation.placed.generation_id
+        self._made_before = self._made()
+        self._has_place = True
+        self._placed = continuation.placed
+        return continuation.placed
+
     async def _place(
-        self, continuation: _Continuation | None
+        self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
         """Wait until admission names a target or refuses."""
         self._attempt += 1
+        self._has_place = True
+        self._place_key = self._order.key
+        self._made_before = 0
         self._decision = asyncio.get_running_loop().create_future()
         now = _clock.monotonic()
         reservation = build_reservation(self._order, self._attempt, self._excluded, now)
@@ -165,7 +225,7 @@
         return decision
 
     async def _try_target(
-        self, placed: TargetChosen, continuation: _Continuation | None
+        self, placed: TargetChosen, continuation: Continuation | None
     ) -> _Result:
         """Send the request to a target and deliver its answer."""
         record = self._instance.board.read(TARGETS).get(placed.target)
@@ -187,18 +247,19 @@
         self,
         record: TargetRecord,
         placed: TargetChosen,
-        continuation: _Continuation | None,
+        continuation: Continuation | None,
     ) -> TargetRequest:
         order = self._order
         targets = self._instance.board.read(TARGETS)
         backup = targets.get(placed.backup)
-        copy = targets.get(continuation.target) if continuation is not None else None
+        copy_address, copy_id = _find_copy(targets, continuation)
         send = TargetSend(
             target=record.name,
             account=order.account,
             time_left=max(order.deadline - _clock.monotonic(), _LEAST_SEND_SECONDS),
             backup_address=backup.address if backup is not None else "",
-            copy_address=copy.address if copy is not None else "",
+            copy_address=copy_address,
+            copy_id=copy_id,
             last_event_id=self._last_event_id,
         )
         return TargetRequest(
@@ -256,13 +317,13 @@
                 if events:
                     await self._write_events(placed, answer, events)
         except (aiohttp.ClientPayloadError, ValueError) as error:
-            return self._take_break(placed, repr(error))
+            return await self._take_break(placed, repr(error))
         except (aiohttp.ClientError, OSError) as error:
             if self._request.transport is None:
                 raise
-            return self._take_break(placed, repr(error))
+            return await self._take_break(placed, repr(error))
         if splitter.rest or self._response is None:
-            return self._take_break(placed, "the stream ended within an event")
+            return await self._take_break(placed, "the stream ended within an event")
         await self._response.write_eof()
         self._note_success(placed)
         self._note_gap()
@@ -294,6 +355,7 @@
             await self._response.prepare(self._request)
             waited = now - self._order.received_at
             self._instance.metrics.first_token.labels(*self._labels).observe(waited)
+            self._context.keeper.add(self)
         else:
             gap = now - self._last_event_at
             self._longest_gap = max(self._longest_gap, gap)
@@ -305,18 +367,22 @@
         await self._response.write(b"".join(event.data for event in events))
 
     def _report_made(self, now: float) -> None:
-        made = TokensMade(self._order.key, self._events * self._order.event_tokens)
+        made = TokensMade(self._place_key, self._made() - self._made_before)
         self._instance.carry_out(self._instance.placement.handle(made, now))
 
-    def _take_break(self, placed: TargetChosen, detail: str) -> _Result:
+    async def _take_break(self, placed: TargetChosen, detail: str) -> _Result:
         """Note that a stream broke off, and tell where it may go on."""
+        if self._mover is not None:
+            moved = await self._mover.result(_HAND_OVER_SECONDS)
+            if moved is not None:
+                return moved
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
         self._note_failure(placed, error)
         if self._events or placed.backup:
-            return _Continuation(placed.backup)
+            return Continuation(placed.backup)
         return error
 
-    def _may_continue(self, continuation: _Continuation) -> bool:
+    def _may_continue(self, continuation: Continuation) -> bool:
         """Tell whether a stream can go on at another target."""
         if continuation.target:
             return True
@@ -324,8 +390,10 @@
         return may_resume and self._retries.try_spend(self._order.service)
 
     def _note_continuation(
-        self, broken: TargetChosen, continuation: _Continuation
+        self, broken: TargetChosen, continuation: Continuation
     ) -> None:
+        if continuation.placed is not None:
+            return
         self._instance.metrics.resumes.inc()
         self._log(
             "stream_continued",
@@ -430,11 +498,11 @@
 
     def _release(self, outcome: ReservationOutcome) -> None:
         """Free the place at the target, once."""
-        if self._decision is None:
+        if not self._has_place:
             return
-        self._decision = None
+        self._has_place = False
         self._placed = None
-        ended = PlacementEnded(self._order.key, outcome)
+        ended = PlacementEnded(self._place_key, outcome)
         now = _clock.monotonic()
         self._instance.carry_out(self._instance.placement.handle(ended, now))
 
@@ -462,3 +530,15 @@
             attempt=self._attempt,
             **fields,
         )
+
+
+def _find_copy(
+    targets: Mapping[str, TargetRecord], continuation: Continuation | None
+) -> tuple[str, str]:
+    """Return the address and the id of the copy to continue from."""
+    if continuation is None:
+        return "", ""
+    if continuation.copy_id:
+        return continuation.copy_address, continuation.copy_id
+    keeper = targets.get(continuation.target)
+    return (keeper.address if keeper is not None else ""), ""
