--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -283,7 +283,11 @@
     def _set_targets(self, group: AdmissionGroup) -> None:
         targets = self._board.read(TARGETS)
         capacities = {
-            name: TargetCapacity(targets[name].cache_tokens, targets[name].slots)
+            name: TargetCapacity(
+                targets[name].cache_tokens,
+                targets[name].slots,
+                targets[name].failure_domain,
+            )
             for name, owner_group in self._group_of_target.items()
             if owner_group == group.name and targets[name].state is TargetState.LIVE
         }
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -68,6 +68,7 @@
         self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
         self._slots: dict[str, int] = {}
+        self._domains: dict[str, str] = {}
         self._moving: dict[str, frozenset[str]] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
@@ -104,6 +105,7 @@
         """Set the targets that take new work, with what they can hold."""
         self._usable = frozenset(capacities)
         for target, capacity in capacities.items():
+            self._domains[target] = capacity.failure_domain
             self._slots[target] = capacity.slots or self._tuning.batch_limit
             ledger = self._ledgers.get(target)
             if ledger is None:
@@ -116,6 +118,7 @@
                 del self._ledgers[target]
                 del self._prefixes[target]
                 del self._slots[target]
+                del self._domains[target]
 
     def request(
         self, request: ReservationRequest, instance: str, losses: int, now: float
@@ -429,7 +432,9 @@
             limit = self._tuning.backup_limit * ledger.capacity
             peak = ledger.peak_with(entry)
             if peak <= limit:
-                rooms.append((peak / max(ledger.capacity, 1), other))
+                is_far = self._domains[other] != self._domains.get(target)
+                distance = self._tuning.backup_distance if is_far else 0.0
+                rooms.append((peak / max(ledger.capacity, 1) + distance, other))
         return min(rooms)[1] if rooms else ""
 
     def _predict(self, request: ReservationRequest, made: int) -> LedgerEntry:
--- a/packages/heathertack/src/heathertack/controllers/_admission_types.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_types.py
@@ -28,6 +28,8 @@
     cache_tokens: int
     #: Requests that it runs at one time; 0 where that is not known.
     slots: int = 0
+    #: Failure domain that it runs in.
+    failure_domain: str = ""
 
 
 class EngineLoad(NamedTuple):
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -21,7 +21,10 @@
     large_part: float = 0.02
     #: Part of the cache that the projected peak may fill with a further copy of
     #: a generation of another target.
-    backup_limit: float = 0.80
+    backup_limit: float = 0.85
+    #: Added to the part of a cache that is filled when a copy would have to cross
+    #: failure domains, which takes twice as long.
+    backup_distance: float = 0.2
     #: Prompt tokens that may wait for their first token on one target, unless
     #: it is a single prompt.
     prefill_budget: int = 512
--- a/packages/heathertackd/src/heathertackd/forwarding/_memory.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_memory.py
@@ -52,7 +52,15 @@
     placed: TargetChosen | None = None
 
 
-def is_protected(board: Blackboard, placed: TargetChosen) -> bool:
-    """Tell whether a stream could go on if its target were lost now."""
-    backup = board.read(TARGETS).get(placed.backup)
-    return backup is not None and backup.state is TargetState.LIVE
+def must_move(board: Blackboard, placed: TargetChosen) -> bool:
+    """Tell whether a stream will be lost with its target unless it moves.
+
+    A run whose copy is lost stays while its target stays: links carry the copies of
+    all runs, and moving each of those runs would delay the copies of the others.
+    """
+    targets = board.read(TARGETS)
+    backup = targets.get(placed.backup)
+    if backup is not None and backup.state is TargetState.LIVE:
+        return False
+    target = targets.get(placed.target)
+    return target is None or target.state is not TargetState.LIVE
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -27,7 +27,7 @@
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import TargetSend
 from heathertackd.forwarding._event_splitter import EventSplitter, StreamEvent
-from heathertackd.forwarding._memory import Continuation, is_protected
+from heathertackd.forwarding._memory import Continuation, must_move
 from heathertackd.forwarding._order import (
     ForwardOrder,
     build_reservation,
@@ -153,7 +153,7 @@
             return
         if not self._mover.may_begin(now):
             return
-        if is_protected(self._instance.board, placed) or self._is_nearly_done():
+        if not must_move(self._instance.board, placed) or self._is_nearly_done():
             return
         self._moves += 1
         reservation = reserve_running(
