--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -27,6 +27,7 @@
 from heathertack.state import AcceptedBundle, MarkOwnerLost
 
 _CLOCK_DRIFT_FACTOR = 1.1
+_ANNOUNCEMENT_SECONDS = 0.5
 
 
 class LeaseRequested(NamedTuple):
@@ -121,6 +122,8 @@
         self._suspects_sequence = 0
         self._confirmed_index = 0
         self._committed_at = 0.0
+        self._seeds: tuple[str, ...] = ()
+        self._next_announcement = float("-inf")
         board.register(self)
 
     @property
@@ -128,6 +131,10 @@
         """Index of the latest bundle known to be in force everywhere."""
         return self._confirmed_index
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Set the instances that others ask first."""
+        self._seeds = seeds
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Act on an event and return what the instance has to do.
 
@@ -168,7 +175,11 @@
                 self._held -= {event.target}
                 return self._push_target(event.target, control, now)
             case TimePassed():
-                return self._expire_members(now) + self._confirm_bundle(now)
+                return (
+                    *self._expire_members(now),
+                    *self._confirm_bundle(now),
+                    *self._announce(now),
+                )
             case _:
                 assert_never(event)
 
@@ -278,6 +289,22 @@
         changed = self._put_target(target)
         return self._push_everywhere(control, now) if changed else ()
 
+    def _announce(self, now: float) -> tuple[Action, ...]:
+        """Tell seeds that ask for no lease who leads.
+
+        After a restart of all instances nobody else could: a seed without a disk
+        remembers no other instance.
+        """
+        if now < self._next_announcement:
+            return ()
+        self._next_announcement = now + _ANNOUNCEMENT_SECONDS
+        unaware = (s for s in self._seeds if s not in self._holders)
+        return tuple(
+            SendToPeer(seed, LeaderHint(self._instance))
+            for seed in unaware
+            if seed != self._instance
+        )
+
     def _expire_members(self, now: float) -> tuple[Action, ...]:
         limit = now - self._timings.member_timeout
         lost = [h for h in self._holders.values() if h.heard_at < limit]
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -6,6 +6,7 @@
 
 from heathertack.blackboard import (
     BUNDLE,
+    CONTROL,
     DRAIN,
     LEASE,
     MEMBERS,
@@ -84,7 +85,7 @@
         Intervals, seconds.
     """
 
-    READS: ClassVar[tuple[Section[Any], ...]] = (DRAIN,)
+    READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL, DRAIN)
     WRITES: ClassVar[tuple[Section[Any], ...]] = (
         BUNDLE,
         LEASE,
@@ -171,7 +172,8 @@
             table=self._table,
             sent_at=now,
         )
-        return (SendToPeer(self._leader or self._name_candidate(), request),)
+        leader = self._leader or self._board.read(CONTROL).leader
+        return (SendToPeer(leader or self._name_candidate(), request),)
 
     def _name_candidate(self) -> str:
         """Return whom to ask for the leader.
--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -84,11 +84,12 @@
 
 
 class Leader:
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, seeds: tuple[str, ...] = ()) -> None:
         board = Blackboard()
         self.name = name
         self.control = ControlWriter(board)
         self.grantor = LeaseGrantorController(board, name, LEASE_TIMINGS)
+        self.grantor.set_seeds(seeds)
 
     def lead(self, term: int, until: float) -> None:
         self.control.set(ControlView(True, term, lease_until=until))
@@ -307,6 +308,39 @@
         assert request.instance == "q"
 
 
+class TestSeedsThatKnowNobody:
+    """All instances restart, and the only seeds are instances without a disk."""
+
+    def test_leader_makes_itself_known_to_them(self) -> None:
+        leader = Leader("a", seeds=("s1", "s2"))
+        leader.lead(1, 100.0)
+        sent = leader.grantor.handle(TimePassed(0.0), 1.0)
+        hints = [(s.instance, s.message) for s in sent if isinstance(s, SendToPeer)]
+        assert hints == [("s1", LeaderHint("a")), ("s2", LeaderHint("a"))]
+
+    def test_seed_with_a_lease_is_left_alone(self) -> None:
+        leader = Leader("a", seeds=("s1", "a"))
+        leader.lead(1, 100.0)
+        event = LeaseRequested(lease_request("s1", bundle_index=0))
+        leader.grantor.handle(event, 1.0)
+        assert leader.grantor.handle(TimePassed(0.0), 1.1) == ()
+
+    def test_instance_without_the_lead_stays_silent(self) -> None:
+        leader = Leader("a", seeds=("s1",))
+        assert leader.grantor.handle(TimePassed(0.0), 1.0) == ()
+
+    def test_seed_asks_the_leader_that_it_hears_of(self) -> None:
+        seed = Holder("s1", 1, ("s1", "s2"))
+        sent = seed.controller.handle(HintReceived(LeaderHint("a")), 1.0)
+        assert [action.instance for action in sent] == ["a"]
+
+    def test_follower_asks_the_leader_of_its_log(self) -> None:
+        follower = Holder("b", 1, ("s1", "s2"))
+        ControlWriter(follower.board).set(ControlView(leader="a"))
+        sent = follower.controller.handle(LeaseDue(), 1.0)
+        assert [action.instance for action in sent] == ["a"]
+
+
 class TestRestartedInstance:
     """A restarted process asks for its lease before it has any bundle."""
 
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -6,7 +6,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -38,11 +38,16 @@
 from heathertackd._surface import BuildSurface, Surface
 
 _DRAIN_STEP_SECONDS = 0.1
+#: Between two looks at settings that may change without a signal.
+_SETTINGS_SECONDS = 2.0
 _STORAGE_ID_BYTES = 6
 #: Storage id of the replicas that form the log at the first start of a system.
 _FOUNDING_STORAGE_ID = "founder"
 
 
+ReadSettings = Callable[[], Result[Settings, str]]
+
+
 class StartError(Exception):
     """The daemon can't start with its settings on this machine."""
 
@@ -168,6 +173,9 @@
         Builds what the daemon offers.
     tuning : AdmissionTuning
         Parameters of admission.
+    read_settings : callable or None
+        Reads the settings again, which may change without a signal; ``None`` for
+        settings that stay.
     """
 
     def __init__(
@@ -176,7 +184,11 @@
         logger: Logger,
         build_surface: BuildSurface = StandardSurface,
         tuning: AdmissionTuning = ADMISSION_TUNING,
+        *,
+        read_settings: ReadSettings | None = None,
     ) -> None:
+        self._read_settings = read_settings
+        self._reload = asyncio.Event()
         self._settings = settings
         self._logger = logger
         self._build_surface = build_surface
@@ -207,6 +219,7 @@
                 await self._start(instance, surface)
                 for work in surface.background_work():
                     self._watch(work)
+                self._watch(self._follow_settings(instance))
                 self._listen_to_signals()
                 self._logger.info("started", incarnation=instance.incarnation)
                 await self._serve(instance, surface)
@@ -236,6 +249,27 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._take_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+
+    async def _follow_settings(self, instance: Instance) -> None:
+        """Take over changed settings, after a signal and now and then without."""
+        while True:
+            try:
+                async with asyncio.timeout(_SETTINGS_SECONDS):
+                    await self._reload.wait()
+            except TimeoutError:
+                pass
+            self._reload.clear()
+            if self._read_settings is None:
+                continue
+            result = self._read_settings()
+            if isinstance(result, Failure):
+                self._logger.warning("settings_unreadable", detail=result.failure())
+                continue
+            settings = result.unwrap()
+            if settings != instance.settings:
+                instance.follow_settings(settings)
+                self._logger.info("settings_reloaded")
 
     def _take_signal(self) -> None:
         """Leave after the first signal, stop at once after the second."""
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -159,6 +159,7 @@
         self.lease_holder = LeaseHolderController(
             board, self._identity(), self.control_instances, self.lease_timings
         )
+        self._set_seeds()
         self.drain = DrainController(
             board, self.address_ttl + self.lease_timings.duration
         )
@@ -253,6 +254,7 @@
         """Take over the seeds of changed settings."""
         self.settings = settings
         self.lease_holder.set_control_instances(self.control_instances)
+        self._set_seeds()
 
     def carry_out(self, actions: Iterable[Action]) -> None:
         """Carry out the actions of a controller."""
@@ -276,6 +278,10 @@
         except TimeoutError:
             return False
 
+    def _set_seeds(self) -> None:
+        if self.grantor is not None and "membership" in self.settings:
+            self.grantor.set_seeds(tuple(self.settings["membership"]["seeds"]))
+
     def _identity(self) -> InstanceIdentity:
         http = self.settings["http"]
         return InstanceIdentity(
