--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -0,0 +1,348 @@
+"""One instance that forwards to scripted targets on loopback."""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+from returns.result import Result
+
+from heathertack.blackboard import TARGETS, Blackboard
+from heathertack.bundle import Bundle, ForwardingRoute, digest_content, pack_bundle
+from heathertack.controllers import LeaseDue
+from heathertack.messages import (
+    BundlePush,
+    LeaseGrant,
+    MemberRecord,
+    MemberState,
+    TableVersion,
+    TargetRecord,
+    TargetState,
+)
+from heathertack.policy import ADMISSION_TUNING
+from heathertack.settings import Settings
+from heathertackd import Instance, configure_logs, monotonic
+from heathertackd.forwarding import (
+    Forwarder,
+    GenerationSize,
+    Headers,
+    MemoryMover,
+    RequestHead,
+    StandardDialect,
+    TargetSend,
+    open_forwarding_session,
+)
+
+HOST = "127.0.0.1"
+KEY = "caller-key"
+NAME = "127.0.0.1:1"
+
+
+class Received(NamedTuple):
+    """A request as a target got it."""
+
+    line: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+Script = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+class ScriptedTarget:
+    """Answers each connection as its script says."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.received: list[Received] = []
+        #: Set when a connection is closed before its script has ended.
+        self.caller_left = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            received = await _read(reader)
+            self.received.append(received)
+            script = asyncio.ensure_future(self.script(received, writer))
+            closing = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait((script, closing), return_when=asyncio.FIRST_COMPLETED)
+            if not script.done():
+                self.caller_left.set()
+                script.cancel()
+            closing.cancel()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.caller_left.set()
+        finally:
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Received:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *lines = head.strip().split("\r\n")
+    headers: CIMultiDict[str] = CIMultiDict()
+    for item in lines:
+        name, _, value = item.partition(": ")
+        headers.add(name, value)
+    length = int(headers.get("Content-Length", "0"))
+    return Received(line, headers, await reader.readexactly(length))
+
+
+def answer(body: bytes = b"done", status: int = 200, **headers: str | None) -> Script:
+    """Return a script that gives one whole answer; ``None`` leaves a header out."""
+
+    async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+        values: dict[str, str | None] = {
+            "X-Request-Id": received.headers["X-Request-Id"],
+            "Content-Length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        lines = [f"{name}: {v}" for name, v in values.items() if v is not None]
+        head = "\r\n".join((f"HTTP/1.1 {status} X", *lines, "", ""))
+        writer.write(head.encode() + body)
+        await writer.drain()
+
+    return script
+
+
+def stream(*events: int, breaks: bool = False, rest: bytes = b"") -> Script:
+    """Return a script that streams numbered events, whole or broken off."""
+
+    async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+        request_id = received.headers["X-Request-Id"]
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\nX-Request-Id: "
+            + request_id.encode()
+            + b"\r\n\r\n"
+        )
+        for number in events:
+            _write_chunk(writer, f"id: {number}\ndata: t{number}\n\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        if rest:
+            _write_chunk(writer, rest)
+        if not breaks:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+async def silence(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Never answer."""
+    del received, writer
+    await asyncio.sleep(30.0)
+
+
+async def hang_up(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Close the connection without an answer."""
+    del received
+    writer.transport.abort()
+
+
+def route(kind: Any, **values: Any) -> ForwardingRoute:
+    built: ForwardingRoute = {
+        "host": "a.example",
+        "path_prefix": "/x/",
+        "kind": kind,
+        "services": {"portal": 1},
+        "timeout": 5.0,
+        "priority": 0,
+        "max_attempts": 2,
+        "public": False,
+        **values,  # type: ignore[typeddict-item]
+    }
+    return built
+
+
+class RecordingDialect(StandardDialect):
+    """Keeps what was sent."""
+
+    def __init__(self) -> None:
+        self.sends: list[TargetSend] = []
+
+    def read_request(self, headers: Headers) -> Result[RequestHead, str]:
+        """Take every request for a generation of 100 and up to 400 tokens."""
+        size = GenerationSize(100, 400)
+        return super().read_request(headers).map(lambda head: head._replace(size=size))
+
+    def encode_send(self, head: RequestHead, send: TargetSend) -> CIMultiDict[str]:
+        self.sends.append(send)
+        return super().encode_send(head, send)
+
+
+class System(NamedTuple):
+    """A running forwarder."""
+
+    instance: Instance
+    dialect: RecordingDialect
+    targets: tuple[ScriptedTarget, ...]
+    addresses: tuple[str, ...]
+    session: aiohttp.ClientSession
+    url: str
+
+    def request(self, method: str = "POST", **values: Any) -> Any:
+        headers = {
+            "Host": "a.example",
+            "X-Request-Id": "r1",
+            "Authorization": f"Bearer {KEY}",
+            **values.pop("headers", {}),
+        }
+        path = values.pop("path", "/x/1")
+        return self.session.request(
+            method, f"{self.url}{path}", headers=headers, **values
+        )
+
+    def mark_leaving(self, target: str) -> None:
+        """Let the platform's list say that a target leaves."""
+        records = tuple(
+            record._replace(state=TargetState.LEAVING)
+            if record.name == target
+            else record
+            for record in self.instance.board.read(TARGETS).values()
+        )
+        granted = grant(self.instance, None, records, 2)
+        self.instance.receive(NAME, granted._replace(bundle_index=1))
+
+    def total_received(self) -> int:
+        return sum(len(target.received) for target in self.targets)
+
+
+def build_bundle(only: ForwardingRoute, *, backups: bool) -> Bundle:
+    bundle: Bundle = {
+        "version": 1,
+        "services": {"portal": {"kind": "forwarding"}},
+        "classes": {"c": 0},
+        "accounts": {
+            "school": {
+                "key_sha256": hashlib.sha256(KEY.encode()).hexdigest(),
+                "share": 1.0,
+                "max_in_progress": 10,
+                "default_class": "c",
+            }
+        },
+        "routes": {"r": only},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000,
+            "header_timeout": 1.0,
+            "idle_timeout": 1.0,
+        },
+    }
+    if backups:
+        bundle["services"]["portal"]["engine"] = {
+            "slots": 8,
+            "cache_tokens": 10000,
+            "backups": True,
+        }
+    return bundle
+
+
+def grant(
+    instance: Instance,
+    bundle: Bundle | None,
+    targets: tuple[TargetRecord, ...],
+    sequence: int = 1,
+) -> LeaseGrant:
+    """Return what a leader would send: this instance is the only member."""
+    member = MemberRecord(
+        NAME, instance.incarnation, MemberState.ALIVE, f"{HOST}:1", "nairobi-a", 1, 0
+    )
+    push = None
+    if bundle is not None:
+        push = BundlePush(1, digest_content(bundle), 0, pack_bundle(bundle))
+    return LeaseGrant(
+        term=1,
+        leader=NAME,
+        incarnation=instance.incarnation,
+        bundle_index=1 if bundle is not None else 0,
+        bundle=push,
+        duration=60.0,
+        sent_at=monotonic(),
+        table=TableVersion(1, sequence),
+        is_full=True,
+        is_settled=True,
+        members=(member,),
+        targets=targets,
+        suspects=(),
+    )
+
+
+@asynccontextmanager
+async def run_system(
+    only: ForwardingRoute,
+    *scripts: Script,
+    backups: bool = False,
+    copies: bool = True,
+    mover: MemoryMover | None = None,
+    without_bundle: bool = False,
+) -> AsyncIterator[System]:
+    """Run a forwarder with one target for each script."""
+    settings: Settings = {
+        "instance": NAME,
+        "cluster": "test",
+        "failure_domain": "nairobi-a",
+        "http": {"host": HOST, "port": 1},
+        "peer": {"host": HOST, "port": 1},
+        "peers": [],
+        "membership": {"seeds": [NAME]},
+        "operator_keys": {},
+        "platform_url": "",
+    }
+    logger = configure_logs(NAME, "critical")
+    limit = ADMISSION_TUNING.backup_limit if copies else 0.0
+    tuning = ADMISSION_TUNING._replace(settling=0.0, backup_limit=limit)
+    instance = Instance(settings, None, Blackboard(), logger, tuning)
+    targets = tuple(ScriptedTarget(script) for script in scripts)
+    addresses = tuple([await target.start() for target in targets])
+    records = tuple(
+        TargetRecord(
+            f"t{n}",
+            "portal",
+            address,
+            "nairobi-a",
+            TargetState.LIVE,
+            10000 if backups else 0,
+            8,
+        )
+        for n, address in enumerate(addresses)
+    )
+    bundle = None if without_bundle else build_bundle(only, backups=backups)
+    instance.receive(NAME, grant(instance, bundle, records))
+    instance.lease_holder.handle(LeaseDue(), monotonic())
+    dialect = RecordingDialect()
+    async with open_forwarding_session() as outgoing:
+        forwarder = Forwarder(instance, outgoing, dialect, mover)
+        server = web.Server(
+            forwarder.handle, handler_cancellation=True, auto_decompress=False
+        )
+        listener = await asyncio.get_running_loop().create_server(server, HOST, 0)
+        port = listener.sockets[0].getsockname()[1]
+        keeper = asyncio.create_task(forwarder.keep_streams())
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{HOST}:{port}"
+            yield System(instance, dialect, targets, addresses, session, url)
+        keeper.cancel()
+        listener.close()
+        await server.shutdown(0.0)
+        for target in targets:
+            target.stop()
+        await instance.stop()
