--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -525,7 +525,7 @@
     request: ReservationRequest, target: str, reason: str, backup: str = ""
 ) -> ReservationGrant:
     return ReservationGrant(
-        request.generation_id, request.attempt, target, reason, backup
+        request.generation_id, request.attempt, target, reason, backup, request.group
     )
 
 
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -29,8 +29,15 @@
 )
 from heathertack.policy import choose_owner
 
-_RESEND_SECONDS = 0.4
+_RESEND_SECONDS = 0.3
 _QUEUED_RESEND_SECONDS = 1.0
+#: An owner that has not answered for this long is passed over. Messages take a few
+#: milliseconds; a process may be held up for some tens of them.
+_OWNER_SUSPICION_SECONDS = 0.3
+#: Owners that are asked before an entry decides alone.
+_MOST_SILENT_OWNERS = 3
+#: For how long it is passed over; a lost instance leaves the table of members sooner.
+_OWNER_PAUSE_SECONDS = 3.0
 _OWNER_SILENCE_SECONDS = 1.2
 _PROGRESS_SECONDS = 1.0
 
@@ -47,6 +54,8 @@
     reply: (
         ReservationGrant | ReservationRefusal | ReservationQueued | ReservationUnknown
     )
+    #: Instance that answered.
+    owner: str = ""
 
 
 class TokensMade(NamedTuple):
@@ -102,13 +111,17 @@
     #: When the generation is no longer worth waiting for.
     deadline: float
     owner: str
-    #: When an owner was first asked, or last heard of.
+    #: When its owner was first asked, or last heard of.
     heard_at: float
+    #: When any owner was first asked, or last heard of.
+    answered_at: float
     next_send: float
     target: str = ""
     made: int = 0
     reported: int = 0
     backup: str = ""
+    #: Owners that were asked since one answered.
+    tried: frozenset[str] = frozenset()
 
 
 class PlacementController:
@@ -126,6 +139,7 @@
     def __init__(self, board: Blackboard) -> None:
         self._board = board
         self._placements: dict[str, _Placement] = {}
+        self._silent_until: dict[str, float] = {}
         self._next_progress = 0.0
         self._turn = 0
         board.register(self)
@@ -169,18 +183,23 @@
             return (_deny(request, "no_target", 1.0, "no target is live"),)
         self._turn += 1
         request = request._replace(group=groups[self._turn % len(groups)])
-        owner = self._find_owner(request.group)
+        owner = self._find_owner(request.group, now)
         if owner is None:
             return self._choose_locally(request, now)
         deadline = now + request.patience
-        placement = _Placement(request, deadline, owner, now, now + _RESEND_SECONDS)
+        placement = _Placement(
+            request, deadline, owner, now, now, now + _RESEND_SECONDS
+        )
         self._placements[request.generation_id] = placement
         return (SendToPeer(owner, request),)
 
-    def _find_owner(self, group: str) -> str | None:
+    def _find_owner(self, group: str, now: float) -> str | None:
+        """Return the owner of a group; the next one if that one is silent."""
         members = self._board.read(MEMBERS).values()
         alive = [m.instance for m in members if m.state is MemberState.ALIVE]
-        return choose_owner(group, alive)
+        silent = self._silent_until
+        heard = [name for name in alive if silent.get(name, now) <= now]
+        return choose_owner(group, heard or alive)
 
     def _choose_locally(
         self, request: ReservationRequest, now: float
@@ -197,23 +216,30 @@
             return (_deny(request, "no_target", 1.0, "no target is live"),)
         target = min(names, key=lambda name: (counts[name], name))
         self._placements[request.generation_id] = _Placement(
-            request, now + request.patience, "", now, float("inf"), target
+            request, now + request.patience, "", now, now, float("inf"), target
         )
         return (_choose(request, target, "the admission owner did not answer"),)
 
     def _take_reply(self, event: OwnerReplied, now: float) -> tuple[Action, ...]:
         reply = event.reply
+        self._silent_until.pop(event.owner, None)
         if isinstance(reply, ReservationUnknown):
             return self._announce(reply.generation_ids)
         placement = self._placements.get(reply.generation_id)
         if placement is None or placement.request.attempt != reply.attempt:
-            return ()
+            return _return_place(event)
         if placement.target:
-            return ()
+            is_other = event.owner != placement.owner
+            return _return_place(event) if is_other else ()
         match reply:
             case ReservationGrant():
                 self._placements[reply.generation_id] = placement._replace(
-                    heard_at=now, target=reply.target, backup=reply.backup
+                    owner=event.owner or placement.owner,
+                    heard_at=now,
+                    answered_at=now,
+                    tried=frozenset(),
+                    target=reply.target,
+                    backup=reply.backup,
                 )
                 chosen = _choose(placement.request, reply.target, reply.reason)
                 return (chosen._replace(backup=reply.backup),)
@@ -225,7 +251,10 @@
                 return (denied,)
             case ReservationQueued():
                 self._placements[reply.generation_id] = placement._replace(
-                    heard_at=now, next_send=now + _QUEUED_RESEND_SECONDS
+                    heard_at=now,
+                    answered_at=now,
+                    tried=frozenset(),
+                    next_send=now + _QUEUED_RESEND_SECONDS,
                 )
                 return ()
             case _:
@@ -278,29 +307,33 @@
                 actions.extend(self._ask_again(placement, now))
         if now >= self._next_progress:
             self._next_progress = now + _PROGRESS_SECONDS
-            actions.extend(self._follow_owners())
+            actions.extend(self._follow_owners(now))
             actions.extend(self._report_progress())
         return tuple(actions)
 
     def _ask_again(self, placement: _Placement, now: float) -> tuple[Action, ...]:
         request = placement.request
-        owner = self._find_owner(request.group)
-        is_silent = now - placement.heard_at >= _OWNER_SILENCE_SECONDS
-        if owner is None or (is_silent and owner == placement.owner):
+        if now - placement.heard_at >= _OWNER_SUSPICION_SECONDS:
+            self._silent_until[placement.owner] = now + _OWNER_PAUSE_SECONDS
+        owner = self._find_owner(request.group, now)
+        tried = placement.tried | {placement.owner}
+        is_silent = now - placement.answered_at >= _OWNER_SILENCE_SECONDS
+        has_tried_enough = owner in tried or len(tried) >= _MOST_SILENT_OWNERS
+        if owner is None or (is_silent and has_tried_enough):
             return self._choose_locally(request, now)
         if owner != placement.owner:
             placement = placement._replace(owner=owner, heard_at=now)
         self._placements[request.generation_id] = placement._replace(
-            next_send=now + _RESEND_SECONDS
+            next_send=now + _RESEND_SECONDS, tried=tried
         )
         patience = max(placement.deadline - now, 0.0)
         return (SendToPeer(owner, request._replace(patience=patience)),)
 
-    def _follow_owners(self) -> tuple[Action, ...]:
+    def _follow_owners(self, now: float) -> tuple[Action, ...]:
         """Announce reservations in use to owners that changed."""
         actions: list[Action] = []
         for generation_id, placement in tuple(self._placements.items()):
-            owner = self._find_owner(placement.request.group)
+            owner = self._find_owner(placement.request.group, now)
             if placement.target and owner is not None and owner != placement.owner:
                 self._placements[generation_id] = placement._replace(owner=owner)
                 actions.extend(self._announce((generation_id,)))
@@ -319,6 +352,25 @@
         )
 
 
+def _return_place(event: OwnerReplied) -> tuple[Action, ...]:
+    """Give back a place that nobody waits for any more.
+
+    An owner that was frozen grants what it was asked before, and would count these
+    places as taken until they time out.
+    """
+    grant = event.reply
+    if not isinstance(grant, ReservationGrant) or not event.owner:
+        return ()
+    release = ReservationRelease(
+        grant.group,
+        grant.generation_id,
+        grant.attempt,
+        ReservationOutcome.CANCELLED,
+        0,
+    )
+    return (SendToPeer(event.owner, release),)
+
+
 def _choose(request: ReservationRequest, target: str, reason: str) -> TargetChosen:
     return TargetChosen(request.generation_id, request.attempt, target, reason)
 
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -50,6 +50,8 @@
     reason: str
     #: Target that is to keep a copy of the generation's memory, empty for none.
     backup: str = ""
+    #: Group that the target belongs to.
+    group: str = ""
 
 
 class ReservationRefusal(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -378,7 +378,7 @@
                 | ReservationQueued()
                 | ReservationUnknown()
             ):
-                reply = OwnerReplied(message)
+                reply = OwnerReplied(message, sender)
                 self._carry_out(self.placement.handle(reply, now))
             case _:
                 self.logger.warning("peer_message_unexpected", sender=sender)
