--- a/packages/heathertack-cli/src/heathertack_cli/_local.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_local.py
@@ -13,9 +13,10 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from returns.result import Failure, Result, Success
 
-from heathertack.bundle import Bundle, compare_bundles, parse_bundle, sign_bundle
+from heathertack.bundle import Bundle, compare_bundles, parse_bundle
 from heathertack.schema import SchemaError
 from heathertack.settings import parse_settings
+from heathertack.signatures import sign_bundle
 from heathertack_cli._usage import ExitCode
 
 _CALLER_KEY_BYTES = 24
--- a/packages/heathertack-cli/src/heathertack_cli/tests/test_main.py
+++ b/packages/heathertack-cli/src/heathertack_cli/tests/test_main.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from heathertack.bundle import SignedBundle, verify_bundle
+from heathertack.bundle import SignedBundle
+from heathertack.signatures import verify_bundle
 from heathertack_cli import main
 
 BUNDLE: dict[str, Any] = {
--- a/packages/heathertack/src/heathertack/bundle/__init__.py
+++ b/packages/heathertack/src/heathertack/bundle/__init__.py
@@ -23,13 +23,7 @@
 )
 from heathertack.bundle._parse import BundleError, check_bundle, parse_bundle
 from heathertack.bundle._queries import account_keys, find_route, index_accounts
-from heathertack.bundle._signature import (
-    SignedBundle,
-    sign_bundle,
-    sign_text,
-    verify_bundle,
-    verify_text,
-)
+from heathertack.bundle._signed import SignedBundle
 
 __all__ = [
     "AccountConfiguration",
@@ -54,10 +48,6 @@
     "pack_changes",
     "parse_bundle",
     "read_canonical",
-    "sign_bundle",
-    "sign_text",
     "unpack_bundle",
     "unpack_changes",
-    "verify_bundle",
-    "verify_text",
 ]
--- a/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -13,11 +13,10 @@
     pack_bundle,
     pack_changes,
     parse_bundle,
-    sign_bundle,
     unpack_bundle,
     unpack_changes,
-    verify_bundle,
 )
+from heathertack.signatures import sign_bundle, verify_bundle
 
 BUNDLE: dict[str, Any] = {
     "version": 3,
--- a/packages/heathertack/src/heathertack/operators/_signature.py
+++ b/packages/heathertack/src/heathertack/operators/_signature.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from heathertack.bundle import sign_text, verify_text
+from heathertack.signatures import sign_text, verify_text
 
 OPERATOR_HEADER = "X-Heathertack-Operator"
 TIME_HEADER = "X-Heathertack-Time"
--- a/packages/heathertack/src/heathertack/bundle/_signature.py
+++ b/packages/heathertack/src/heathertack/signatures/_ed25519.py
@@ -4,7 +4,6 @@
 
 import base64
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from cryptography.exceptions import InvalidSignature
 from cryptography.hazmat.primitives.asymmetric.ed25519 import (
@@ -12,21 +11,7 @@
     Ed25519PublicKey,
 )
 
-from heathertack.bundle._difference import canonical_text
-from heathertack.bundle._model import Bundle
-
-
-class SignedBundle(NamedTuple):
-    """The text of a bundle with the signature of an operator."""
-
-    #: Canonical JSON of the bundle.
-    text: str
-    #: Name of the operator.
-    operator: str
-    #: Ed25519 signature of the text, base64.
-    signature: str
-    #: What the operator sent, where that is not the canonical JSON.
-    original: str = ""
+from heathertack.bundle import Bundle, SignedBundle, canonical_text
 
 
 def sign_text(text: str, secret_key: str) -> str:
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -5,7 +5,6 @@
 from heathertackd._disk import FolderDisk
 from heathertackd._instance import Instance
 from heathertackd._logs import Logger, configure_logs
-from heathertackd._main import main
 from heathertackd._retry_allowance import RetryAllowance
 from heathertackd._surface import BuildSurface, Surface
 from heathertackd._watchers import PlatformWatcher, TargetLister
@@ -22,6 +21,5 @@
     "Surface",
     "TargetLister",
     "configure_logs",
-    "main",
     "monotonic",
 ]
--- a/packages/heathertackd/src/heathertackd/__main__.py
+++ b/packages/heathertackd/src/heathertackd/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from heathertackd._main import main
+from heathertackd.command import main
 
 sys.exit(main())
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -34,7 +34,6 @@
 from heathertackd._logs import Logger
 from heathertackd._peers import PeerNetworkError
 from heathertackd._sockets import open_target_socket
-from heathertackd._standard_surface import StandardSurface
 from heathertackd._surface import BuildSurface, Surface
 
 _DRAIN_STEP_SECONDS = 0.1
@@ -182,7 +181,7 @@
         self,
         settings: Settings,
         logger: Logger,
-        build_surface: BuildSurface = StandardSurface,
+        build_surface: BuildSurface,
         tuning: AdmissionTuning = ADMISSION_TUNING,
         *,
         read_settings: ReadSettings | None = None,
--- a/packages/heathertackd/src/heathertackd/_operator_api.py
+++ b/packages/heathertackd/src/heathertackd/_operator_api.py
@@ -16,7 +16,6 @@
     SignedBundle,
     digest_content,
     parse_bundle,
-    verify_bundle,
 )
 from heathertack.controllers import (
     AnswerCommand,
@@ -37,6 +36,7 @@
     StatusDocument,
     verify_request,
 )
+from heathertack.signatures import verify_bundle
 from heathertack.state import (
     RESULT_CODEC,
     ApplyBundle,
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -25,6 +25,8 @@
 _PLATFORM_SECONDS = 0.3
 _PLATFORM_TIMEOUT_SECONDS = 2.0
 _LOAD_SECONDS = 0.5
+#: Between two looks at who leads.
+_LEADERSHIP_SECONDS = 0.05
 
 
 class _PlatformInstance(TypedDict):
@@ -104,7 +106,9 @@
             control = self._instance.board.read(CONTROL)
             if control.may_lead(_clock.monotonic()):
                 await self._fetch()
-            await asyncio.sleep(self._interval)
+                await asyncio.sleep(self._interval)
+            else:
+                await asyncio.sleep(_LEADERSHIP_SECONDS)
 
     async def _fetch(self) -> None:
         result = await self._lister.fetch()
--- a/packages/heathertackd/src/heathertackd/_main.py
+++ b/packages/heathertackd/src/heathertackd/command.py
@@ -14,6 +14,7 @@
 from heathertack.settings import Settings, parse_settings
 from heathertackd._daemon import Daemon, StartError, form_cluster
 from heathertackd._logs import Logger, configure_logs
+from heathertackd._standard_surface import StandardSurface
 
 _USAGE = """The heathertack daemon.
 
@@ -78,4 +79,4 @@
 
 
 async def _run(settings: Settings, logger: Logger) -> None:
-    await Daemon(settings, logger).run()
+    await Daemon(settings, logger, StandardSurface).run()
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from itertools import count
 
@@ -29,7 +30,10 @@
 
 #: Callers may come back this long after an instance without a bundle sent them
 #: away, seconds; most leases are renewed within it.
-_UNCONFIRMED_RETRY_SECONDS = 0.5
+_UNCONFIRMED_RETRY_SECONDS = 1.0
+#: Wait of a request for the first bundle of a process: an election and a lease.
+_STARTING_SECONDS = 1.0
+_STARTING_STEP_SECONDS = 0.05
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _DEFAULT_BODY_SECONDS = 20.0
 
@@ -124,7 +128,7 @@
         RefusedError
             If it can't be served.
         """
-        view = self._instance.board.read(BUNDLE)
+        view = await self._wait_for_bundle()
         bundle = view.bundle
         if bundle is None:
             message = "no bundle is in force yet"
@@ -159,6 +163,14 @@
             event_tokens=engine.get("event_tokens", 1) if engine is not None else 1,
         )
 
+    async def _wait_for_bundle(self) -> BundleView:
+        """Return the bundle; a process that has just started gets it soon."""
+        board = self._instance.board
+        deadline = _clock.monotonic() + _STARTING_SECONDS
+        while board.read(BUNDLE).bundle is None and _clock.monotonic() < deadline:
+            await asyncio.sleep(_STARTING_STEP_SECONDS)
+        return board.read(BUNDLE)
+
     def _read_head(self, request: web.BaseRequest) -> RequestHead:
         result = self._dialect.read_request(request.headers)
         if isinstance(result, Failure):
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -47,6 +47,9 @@
 #: Less time than this is not worth a send, seconds.
 _LEAST_SEND_SECONDS = 0.02
 _SERVER_ERROR = 500
+#: Wait for the first list of targets, which comes with the leases.
+_TARGETS_SECONDS = 1.0
+_TARGETS_STEP_SECONDS = 0.1
 #: A run with fewer tokens to come ends before a move would help.
 _LEAST_MOVED_TOKENS = 40
 #: Wait for the end of a move whose run has stopped, seconds.
@@ -203,7 +206,23 @@
     async def _place(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
-        """Wait until admission names a target or refuses."""
+        """Wait until admission names a target or refuses.
+
+        A process that has just started knows no targets yet; it asks again.
+        """
+        while True:
+            decision = await self._ask_for_place(continuation)
+            waited = _clock.monotonic() - self._order.received_at
+            is_unknown = (
+                isinstance(decision, PlacementDenied) and decision.code == "no_target"
+            )
+            if not is_unknown or waited >= _TARGETS_SECONDS:
+                return decision
+            await asyncio.sleep(_TARGETS_STEP_SECONDS)
+
+    async def _ask_for_place(
+        self, continuation: Continuation | None
+    ) -> TargetChosen | PlacementDenied:
         self._attempt += 1
         self._has_place = True
         self._place_key = self._order.key
--- a/packages/heathertackd/src/heathertackd/tests/test_main.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_main.py
@@ -8,7 +8,7 @@
 import zmq
 
 from heathertack_fakes import HOST, find_free_ports
-from heathertackd import main
+from heathertackd.command import main
 
 
 @pytest.fixture
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -10,8 +10,9 @@
 import aiohttp
 import pytest
 
-from heathertack.bundle import parse_bundle, sign_bundle, sign_text
+from heathertack.bundle import parse_bundle
 from heathertack.settings import LimitSettings
+from heathertack.signatures import sign_bundle, sign_text
 from heathertack_cli import Operator, ask
 from heathertack_fakes import (
     CALLER_KEY,
