--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -138,6 +138,7 @@
     WeightsReported,
 )
 from heathertack.controllers._placement import (
+    CopyDropped,
     OwnerReplied,
     PlacementController,
     PlacementDenied,
@@ -187,6 +188,7 @@
     "ControlLogAction",
     "ControlLogController",
     "ControlLogEvent",
+    "CopyDropped",
     "CountDrop",
     "DeliverTokens",
     "DiscardDelivered",
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -14,6 +14,7 @@
 from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
     ReservationQueued,
@@ -114,7 +115,7 @@
             else:
                 ledger.capacity = capacity.cache_tokens
         for target in tuple(self._ledgers):
-            if target not in self._usable and not self._ledgers[target].count:
+            if target not in self._usable and self._ledgers[target].is_empty:
                 del self._ledgers[target]
                 del self._prefixes[target]
                 del self._slots[target]
@@ -274,6 +275,9 @@
         for queued in tuple(self._queue.ordered()):
             waiting = queued.item
             target = self._choose_target(waiting, now)
+            if target is None:
+                dropped, target = self._make_room(waiting, now)
+                replies.extend(dropped)
             if target is not None:
                 self._queue.remove(queued.key)
                 replies.append(self._place(waiting, target, now))
@@ -364,13 +368,74 @@
                 break
         return best[1] if best is not None else None
 
+    def _make_room(
+        self, waiting: WaitingRequest, now: float
+    ) -> tuple[tuple[AddressedReply, ...], str | None]:
+        """Drop copies of running generations for a request that fits nowhere.
+
+        A copy is of use only if its generation loses its target; a request that
+        waits loses its time for certain. The target that needs the fewest drops is
+        taken.
+
+        Returns
+        -------
+        tuple
+            Messages for the entries whose copies are dropped, and the target that
+            has room then; nothing if no number of drops makes room.
+        """
+        request = waiting.request
+        if waiting.losses and self._is_running(request.fingerprint):
+            return (), None
+        best: tuple[int, str, tuple[str, ...]] | None = None
+        for target in self._candidates(request, now):
+            dropped = self._count_drops(request, target)
+            if dropped and (best is None or (len(dropped), target) < best[:2]):
+                best = (len(dropped), target, dropped)
+        if best is None:
+            return (), None
+        return tuple(self._drop_copy(key) for key in best[2]), best[1]
+
+    def _count_drops(self, request: ReservationRequest, target: str) -> tuple[str, ...]:
+        """Return the generations whose copies must go for a request to fit."""
+        ledger = self._ledgers[target]
+        if not self._has_slot(request, target):
+            return ()
+        copies = [
+            (ledger.cached_of(_backup_key(key)), key)
+            for key, held in self._held.items()
+            if held.backup == target
+        ]
+        taken: list[tuple[str, LedgerEntry]] = []
+        try:
+            for _, key in sorted(copies, reverse=True):
+                entry = ledger.find(_backup_key(key))
+                if entry is None:
+                    continue
+                taken.append((key, entry))
+                ledger.release(_backup_key(key))
+                if self._score(request, target) is not None:
+                    return tuple(name for name, _ in taken)
+            return ()
+        finally:
+            for key, entry in taken:
+                ledger.reserve_copy(_backup_key(key), entry)
+
+    def _drop_copy(self, generation_id: str) -> AddressedReply:
+        held = self._held[generation_id]
+        self._ledgers[held.backup].release(_backup_key(generation_id))
+        self._held[generation_id] = held._replace(backup="")
+        dropped = ReservationCopyDropped(generation_id, held.backup)
+        return AddressedReply(held.instance, dropped)
+
     def _least_cached_first(self, request: ReservationRequest, now: float) -> list[str]:
         """Order targets by what they hold, less what a kept prefix would save."""
         weight = self._tuning.prefix_weight
 
         def rank(target: str) -> tuple[float, str]:
             saved = self._prefixes[target].saved_tokens(request.prefix)
-            return (self._ledgers[target].cached - weight * saved, target)
+            ledger = self._ledgers[target]
+            crowding = self._tuning.run_weight * ledger.count * ledger.capacity
+            return (ledger.cached - weight * saved + crowding, target)
 
         return sorted(self._candidates(request, now), key=rank)
 
@@ -390,29 +455,35 @@
         """Return the load of a target with a request added, ``None`` if it is full."""
         tuning = self._tuning
         ledger = self._ledgers[target]
-        if ledger.count >= min(tuning.batch_limit, self._slots[target]):
-            return None
-        if request.is_running and self._is_link_busy(request, target):
+        if not self._has_slot(request, target):
             return None
         if not ledger.capacity:
             return ledger.count / self._slots[target]
         saved = self._prefixes[target].saved_tokens(request.prefix)
-        prompt = max(request.prompt_tokens - saved, 0)
-        waiting = ledger.waiting_prompt_tokens
-        reads_prompt = not request.is_running
-        if reads_prompt and waiting and waiting + prompt > tuning.prefill_budget:
-            return None
         capacity = max(ledger.capacity, 1)
         candidate = self._predict(request, 0)
         limit = tuning.cache_limit * capacity
         if candidate.cached + candidate.remaining > tuning.large_part * capacity:
             limit = tuning.large_cache_limit * capacity
-        if ledger.count and ledger.cached + request.prompt_tokens > limit:
+        if not ledger.is_empty and ledger.cached + request.prompt_tokens > limit:
             return None
         peak = ledger.peak_with(candidate)
-        if ledger.count and peak > limit:
+        if not ledger.is_empty and peak > limit:
             return None
-        return (peak - tuning.prefix_weight * saved) / capacity
+        crowding = tuning.run_weight * ledger.count
+        return (peak - tuning.prefix_weight * saved) / capacity + crowding
+
+    def _has_slot(self, request: ReservationRequest, target: str) -> bool:
+        """Tell whether a target could begin a request if it had the memory."""
+        ledger = self._ledgers[target]
+        if ledger.count >= min(self._tuning.batch_limit, self._slots[target]):
+            return False
+        if request.is_running:
+            return not self._is_link_busy(request, target)
+        waiting = ledger.waiting_prompt_tokens
+        saved = self._prefixes[target].saved_tokens(request.prefix)
+        prompt = max(request.prompt_tokens - saved, 0)
+        return not waiting or waiting + prompt <= self._tuning.prefill_budget
 
     def _is_link_busy(self, request: ReservationRequest, target: str) -> bool:
         """Tell whether a move from or to one of two targets is in progress.
@@ -495,7 +566,7 @@
             ledger.reserve(key, entry, started=made > 0 or request.is_running)
         copies = self._ledgers.get(backup)
         if copies is not None:
-            copies.reserve(_backup_key(key), entry, started=True)
+            copies.reserve_copy(_backup_key(key), entry)
 
     def _drop(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
--- a/packages/heathertack/src/heathertack/controllers/_admission_types.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_types.py
@@ -5,13 +5,16 @@
 from typing import NamedTuple
 
 from heathertack.messages import (
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationQueued,
     ReservationRefusal,
     ReservationRequest,
 )
 
-Reply = ReservationGrant | ReservationRefusal | ReservationQueued
+Reply = (
+    ReservationGrant | ReservationRefusal | ReservationQueued | ReservationCopyDropped
+)
 
 
 class AddressedReply(NamedTuple):
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -18,6 +18,7 @@
     MemberState,
     ProgressItem,
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
     ReservationProgress,
@@ -52,7 +53,11 @@
     """An admission owner answered."""
 
     reply: (
-        ReservationGrant | ReservationRefusal | ReservationQueued | ReservationUnknown
+        ReservationGrant
+        | ReservationRefusal
+        | ReservationQueued
+        | ReservationUnknown
+        | ReservationCopyDropped
     )
     #: Instance that answered.
     owner: str = ""
@@ -101,7 +106,14 @@
     reason: str
 
 
-Action = SendToPeer | TargetChosen | PlacementDenied
+class CopyDropped(NamedTuple):
+    """A target keeps the copy of a generation no longer."""
+
+    generation_id: str
+    backup: str
+
+
+Action = SendToPeer | TargetChosen | PlacementDenied | CopyDropped
 
 
 class _Placement(NamedTuple):
@@ -225,6 +237,8 @@
         self._silent_until.pop(event.owner, None)
         if isinstance(reply, ReservationUnknown):
             return self._announce(reply.generation_ids)
+        if isinstance(reply, ReservationCopyDropped):
+            return self._drop_copy(reply)
         placement = self._placements.get(reply.generation_id)
         if placement is None or placement.request.attempt != reply.attempt:
             return _return_place(event)
@@ -260,6 +274,13 @@
             case _:
                 assert_never(reply)
 
+    def _drop_copy(self, dropped: ReservationCopyDropped) -> tuple[Action, ...]:
+        placement = self._placements.get(dropped.generation_id)
+        if placement is None or placement.backup != dropped.backup:
+            return ()
+        self._placements[dropped.generation_id] = placement._replace(backup="")
+        return (CopyDropped(dropped.generation_id, dropped.backup),)
+
     def _announce(self, generation_ids: tuple[str, ...]) -> tuple[Action, ...]:
         actions: list[Action] = []
         for generation_id in generation_ids:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -1,8 +1,11 @@
+from typing import Any
+
 import pytest
 
 from heathertack.controllers import AdmissionGroup, EngineLoad, TargetCapacity
 from heathertack.messages import (
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
     ReservationQueued,
@@ -55,10 +58,14 @@
             {f"e{i}": TargetCapacity(capacity) for i in range(engines)}
         )
         self.replies: dict[str, object] = {}
+        self.dropped: list[str] = []
 
     def keep(self, replies: tuple[object, ...]) -> None:
         for addressed in replies:
             reply = addressed.reply  # type: ignore[attr-defined]
+            if isinstance(reply, ReservationCopyDropped):
+                self.dropped.append(reply.generation_id)
+                continue
             self.replies[reply.generation_id] = reply
 
     def ask(self, wanted: ReservationRequest, now: float = 0.0, losses: int = 0) -> str:
@@ -266,3 +273,119 @@
 
     def test_unknown_generation_is_asked_for(self) -> None:
         assert not Group().group.note_progress("x", 3, 0.0)
+
+
+class TestCopies:
+    """Load pattern: long streams on engines that are reclaimed all the time."""
+
+    def test_second_engine_keeps_a_copy(self) -> None:
+        group = Group(engines=2, capacity=1000)
+        group.ask(copied("g"))
+        grant = group.replies["g"]
+        assert isinstance(grant, ReservationGrant)
+        assert {grant.target, grant.backup} == {"e0", "e1"}
+
+    def test_no_copy_where_it_would_crowd_out_streams(self) -> None:
+        group = Group(engines=2, capacity=1000)
+        for key in ("a", "b"):
+            group.ask(request(key, prompt=800, max_tokens=10))
+            group.started(key)
+        group.ask(copied("g", prompt=60))
+        grant = group.replies["g"]
+        assert isinstance(grant, ReservationGrant)
+        assert grant.backup == ""
+
+    def test_copy_is_counted(self) -> None:
+        group = Group(engines=2, capacity=1000)
+        for key in ("a", "b"):
+            group.ask(copied(key, prompt=400))
+            group.started(key)
+        kept = {group.replies[key].backup for key in ("a", "b")}  # type: ignore[attr-defined]
+        assert kept == {"e0", "e1"}
+        group.ask(request("c", prompt=400, max_tokens=10))
+        assert len(group.dropped) == 1
+
+    def test_copies_give_way_to_a_stream_that_waits(self) -> None:
+        group = Group(engines=2, capacity=1000)
+        for key in ("a", "b"):
+            group.ask(copied(key, prompt=380))
+            group.started(key)
+        group.ask(request("c", prompt=380, max_tokens=10))
+        assert isinstance(group.replies["c"], ReservationGrant)
+        assert len(group.dropped) == 1
+
+    def test_no_copy_is_dropped_where_that_makes_no_room(self) -> None:
+        group = Group(engines=2, capacity=1000)
+        for key in ("a", "b"):
+            group.ask(copied(key, prompt=300))
+            group.started(key)
+        group.ask(request("c", prompt=900, max_tokens=400))
+        assert isinstance(group.replies["c"], ReservationQueued)
+        assert group.dropped == []
+
+    def test_stream_goes_on_where_its_copy_is_at_once(self) -> None:
+        group = Group(engines=3, capacity=1000)
+        group.ask(copied("a", prompt=400))
+        first = group.replies["a"]
+        assert isinstance(first, ReservationGrant)
+        lost = ReservationRelease("tutor:0", "a", 1, ReservationOutcome.TARGET_LOST, 9)
+        group.group.release(lost, 1.0)
+        again = copied("a", prompt=400, attempt=2, excluded=(first.target,))
+        group.ask(again._replace(preferred=first.backup))
+        second = group.replies["a"]
+        assert isinstance(second, ReservationGrant)
+        assert second.target == first.backup
+        assert second.backup not in ("", second.target)
+
+    def test_near_engine_keeps_the_copy(self) -> None:
+        group = Group(engines=0)
+        domains = {"e0": "a", "e1": "b", "e2": "a"}
+        group.group.set_targets(
+            {name: TargetCapacity(1000, 0, zone) for name, zone in domains.items()}
+        )
+        group.ask(copied("g"))
+        grant = group.replies["g"]
+        assert isinstance(grant, ReservationGrant)
+        near = {"e0": "e2", "e2": "e0"}
+        assert grant.backup == near.get(grant.target, grant.backup)
+
+    def test_one_move_at_a_time_from_or_to_an_engine(self) -> None:
+        group = Group(engines=3, capacity=1000)
+        for key in ("m1", "m2"):
+            moving = request(key, excluded=("e0",), max_tokens=10)
+            group.ask(moving._replace(is_running=True))
+        assert isinstance(group.replies["m1"], ReservationGrant)
+        assert isinstance(group.replies["m2"], ReservationQueued)
+        group.keep(group.group.dispatch(0.1))
+        group.group.note_progress("m1", 1, 0.2)
+        group.keep(group.group.dispatch(0.2))
+        assert isinstance(group.replies["m2"], ReservationGrant)
+
+
+class TestSlots:
+    """Load pattern: short calls of a plain service with few places."""
+
+    def test_places_are_taken_one_by_one_and_freed(self) -> None:
+        group = Group(engines=0)
+        group.group.set_targets({"p0": TargetCapacity(0, 2)})
+        for key in ("a", "b", "c"):
+            group.ask(request(key, prompt=0, max_tokens=0))
+        assert isinstance(group.replies["c"], ReservationQueued)
+        done = ReservationRelease("tutor:0", "a", 1, ReservationOutcome.FINISHED, 0)
+        group.group.release(done, 0.1)
+        group.keep(group.group.dispatch(0.1))
+        assert isinstance(group.replies["c"], ReservationGrant)
+
+    def test_work_is_spread_evenly(self) -> None:
+        group = Group(engines=0)
+        group.group.set_targets({f"p{n}": TargetCapacity(0, 6) for n in range(3)})
+        for number in range(9):
+            group.ask(request(f"r{number}", prompt=0, max_tokens=0))
+        targets = [getattr(reply, "target", "") for reply in group.replies.values()]
+        assert sorted(targets.count(f"p{n}") for n in range(3)) == [3, 3, 3]
+
+
+def copied(key: str, **values: Any) -> ReservationRequest:
+    """Return a request whose generation is to be kept at a second engine too."""
+    size = {"max_tokens": 10, **values}
+    return request(key, **size)._replace(wants_backup=True)
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -22,6 +22,7 @@
 from heathertack.messages._reservations import (
     ProgressItem,
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
     ReservationProgress,
@@ -49,6 +50,7 @@
     "PeerMessage",
     "ProgressItem",
     "ReservationAnnounce",
+    "ReservationCopyDropped",
     "ReservationGrant",
     "ReservationOutcome",
     "ReservationProgress",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -15,6 +15,7 @@
 from heathertack.messages._codec import MessageCodec
 from heathertack.messages._reservations import (
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationProgress,
     ReservationQueued,
@@ -205,6 +206,7 @@
     | ReservationProgress
     | ReservationUnknown
     | ReservationRelease
+    | ReservationCopyDropped
 )
 
 #: Codec of control messages.
@@ -230,5 +232,6 @@
         ReservationProgress,
         ReservationUnknown,
         ReservationRelease,
+        ReservationCopyDropped,
     )
 )
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -54,6 +54,14 @@
     group: str = ""
 
 
+class ReservationCopyDropped(NamedTuple):
+    """Tells that a target keeps the copy of a generation no longer."""
+
+    generation_id: str
+    #: Target that kept it.
+    backup: str
+
+
 class ReservationRefusal(NamedTuple):
     """Tells that a generation will not be placed."""
 
--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -56,6 +56,7 @@
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self._entries: dict[str, LedgerEntry] = {}
+        self._copies: set[str] = set()
         self._waiting_prompts: dict[str, int] = {}
         self._own_tokens = 0
         self._waiting_tokens = 0
@@ -63,8 +64,13 @@
 
     @property
     def count(self) -> int:
-        """Number of reservations."""
-        return len(self._entries)
+        """Number of reservations for runs; copies are not counted."""
+        return len(self._entries) - len(self._copies)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is reserved."""
+        return not self._entries
 
     @property
     def cached(self) -> int:
@@ -81,6 +87,20 @@
         """Generations that hold a reservation."""
         return tuple(self._entries)
 
+    def find(self, generation_id: str) -> LedgerEntry | None:
+        """Return a reservation."""
+        return self._entries.get(generation_id)
+
+    def cached_of(self, generation_id: str) -> int:
+        """Return the tokens that a reservation holds now, 0 without one."""
+        entry = self._entries.get(generation_id)
+        return entry.cached if entry is not None else 0
+
+    def reserve_copy(self, key: str, entry: LedgerEntry) -> None:
+        """Add or update the memory of a generation that runs elsewhere."""
+        self.reserve(key, entry, started=True)
+        self._copies.add(key)
+
     def reserve(self, generation_id: str, entry: LedgerEntry, *, started: bool) -> None:
         """Add or update a reservation."""
         self.release(generation_id)
@@ -93,6 +113,7 @@
     def release(self, generation_id: str) -> None:
         """Remove a reservation."""
         entry = self._entries.pop(generation_id, None)
+        self._copies.discard(generation_id)
         if entry is not None:
             self._own_tokens -= entry.cached
         self._waiting_tokens -= self._waiting_prompts.pop(generation_id, 0)
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -36,6 +36,9 @@
     head_age_limit: float = 6.0
     #: Targets whose projected peak is computed for one request.
     compared_targets: int = 4
+    #: Weight of one run beside the filled part of the cache: each one slows the
+    #: others, and is lost with them.
+    run_weight: float = 0.02
     #: Weight of saved prompt tokens beside cached tokens in the choice.
     prefix_weight: float = 2.0
     #: Life of a reservation without news, seconds.
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -4,6 +4,7 @@
 from heathertackd._daemon import Daemon, StartError
 from heathertackd._disk import FolderDisk
 from heathertackd._instance import Instance
+from heathertackd._leaving_watcher import LeavingReporter, LeavingWatcher
 from heathertackd._logs import Logger, configure_logs
 from heathertackd._retry_allowance import RetryAllowance
 from heathertackd._surface import BuildSurface, Surface
@@ -14,6 +15,8 @@
     "Daemon",
     "FolderDisk",
     "Instance",
+    "LeavingReporter",
+    "LeavingWatcher",
     "Logger",
     "PlatformWatcher",
     "RetryAllowance",
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -15,6 +15,7 @@
     CancelAttempt,
     CloseLink,
     CompleteAnswer,
+    CopyDropped,
     CountDrop,
     DeliverTokens,
     DiscardDelivered,
@@ -163,6 +164,9 @@
             event = PlacementRefused(decision.attempt, refusal)
         self._spawn(self._events.put((event,)))
 
+    def take_copy_dropped(self, dropped: CopyDropped) -> None:
+        """Pass over it: engines of this interface keep no copies."""
+
     async def _step(self) -> None:
         """Wait for events and act on them."""
         self._arm_timer()
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -35,6 +35,7 @@
     ConfirmBundleInForce,
     ConsensusReceived,
     ControlLogEvent,
+    CopyDropped,
     DrainController,
     GrantReceived,
     HintReceived,
@@ -72,6 +73,7 @@
     LeaseRequest,
     PeerMessage,
     ReservationAnnounce,
+    ReservationCopyDropped,
     ReservationGrant,
     ReservationProgress,
     ReservationQueued,
@@ -106,6 +108,7 @@
     | ConfirmBundleInForce
     | TargetChosen
     | PlacementDenied
+    | CopyDropped
 )
 
 
@@ -116,6 +119,10 @@
         """Take a decision."""
         ...
 
+    def take_copy_dropped(self, dropped: CopyDropped) -> None:
+        """Learn that the copy of the generation's memory is given up."""
+        ...
+
 
 class Instance:
     """One daemon: blackboard, controllers and peers.
@@ -377,6 +384,7 @@
                 | ReservationRefusal()
                 | ReservationQueued()
                 | ReservationUnknown()
+                | ReservationCopyDropped()
             ):
                 reply = OwnerReplied(message, sender)
                 self._carry_out(self.placement.handle(reply, now))
@@ -424,6 +432,10 @@
                     listener = self._listeners.get(action.generation_id)
                     if listener is not None:
                         listener.take_placement(action)
+                case CopyDropped():
+                    listener = self._listeners.get(action.generation_id)
+                    if listener is not None:
+                        listener.take_copy_dropped(action)
                 case _:
                     assert_never(action)
 
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -0,0 +1,72 @@
+"""Asks engines whether they are about to leave, sooner than the list tells."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from returns.result import Failure, Result
+
+from heathertack.blackboard import LEASE, TARGETS
+from heathertack.messages import TargetRecord, TargetReport, TargetState
+from heathertackd._instance import Instance
+
+
+class LeavingReporter(Protocol):
+    """Calls to engines that tell whether they leave."""
+
+    async def is_leaving(self, address: str) -> Result[bool, str]:
+        """Tell whether the engine at an address is about to leave."""
+        ...
+
+
+class LeavingWatcher:
+    """Asks the engines of the groups that this instance admits to.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    reporter : LeavingReporter
+        Calls to engines.
+    interval : float
+        Pause between two questions to an engine, seconds.
+    """
+
+    def __init__(
+        self, instance: Instance, reporter: LeavingReporter, interval: float
+    ) -> None:
+        self._instance = instance
+        self._reporter = reporter
+        self._interval = interval
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            targets = self._instance.board.read(TARGETS)
+            watched = (
+                targets[name]
+                for name in self._instance.admission.watched_targets
+                if name in targets
+            )
+            engines = [t for t in watched if t.cache_tokens and _is_live(t)]
+            await asyncio.gather(*(self._ask(engine) for engine in engines))
+            await asyncio.sleep(self._interval)
+
+    async def _ask(self, engine: TargetRecord) -> None:
+        result = await self._reporter.is_leaving(engine.address)
+        if isinstance(result, Failure):
+            self._instance.logger.info(
+                "engine_report_missing", target=engine.name, detail=result.failure()
+            )
+            return
+        if not result.unwrap():
+            return
+        leader = self._instance.board.read(LEASE).leader
+        self._instance.logger.info("target_leaves", target=engine.name, leader=leader)
+        if leader:
+            self._instance.send(leader, TargetReport(engine.name))
+
+
+def _is_live(target: TargetRecord) -> bool:
+    return target.state is TargetState.LIVE
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -11,6 +11,7 @@
 
 from heathertack.blackboard import TARGETS
 from heathertack.controllers import (
+    CopyDropped,
     Execution,
     PlacementDenied,
     PlacementEnded,
@@ -173,6 +174,16 @@
             return True
         return size.max_tokens - self._made() < _LEAST_MOVED_TOKENS
 
+    def take_copy_dropped(self, dropped: CopyDropped) -> None:
+        """Go on without a copy; its memory is needed."""
+        placed = self._placed
+        if placed is None or placed.backup != dropped.backup:
+            return
+        self._placed = placed._replace(backup="")
+        self._log("copy_dropped", keeper=dropped.backup)
+        if self._mover is not None:
+            self._mover.discard(dropped.backup)
+
     async def _serve(self) -> web.StreamResponse:
         continuation: Continuation | None = None
         while True:
@@ -198,6 +209,7 @@
             return await self._place(continuation)
         self._release(ReservationOutcome.CANCELLED)
         self._place_key = continuation.placed.generation_id
+        self._instance.listen(self._place_key, self)
         self._made_before = self._made()
         self._has_place = True
         self._placed = continuation.placed
@@ -396,15 +408,19 @@
             if moved is not None:
                 return moved
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
+        backup = self._placed.backup if self._placed is not None else ""
         self._note_failure(placed, error)
-        if self._events or placed.backup:
-            return Continuation(placed.backup)
+        if self._events or backup:
+            return Continuation(backup)
         return error
 
     def _may_continue(self, continuation: Continuation) -> bool:
         """Tell whether a stream can go on at another target."""
-        if continuation.target:
+        if continuation.placed is not None:
             return True
+        if continuation.target:
+            keeper = self._instance.board.read(TARGETS).get(continuation.target)
+            return keeper is not None and keeper.state is not TargetState.GONE
         may_resume = self._order.route["kind"] == "resumable"
         return may_resume and self._retries.try_spend(self._order.service)
 
@@ -521,6 +537,8 @@
             return
         self._has_place = False
         self._placed = None
+        if self._place_key != self._order.key:
+            self._instance.stop_listening(self._place_key)
         ended = PlacementEnded(self._place_key, outcome)
         now = _clock.monotonic()
         self._instance.carry_out(self._instance.placement.handle(ended, now))
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -9,6 +9,7 @@
 
 from heathertack.blackboard import TARGETS
 from heathertack.controllers import (
+    CopyDropped,
     PlacementDenied,
     PlacementEnded,
     PlacementWanted,
@@ -54,6 +55,7 @@
         self._request_id = request_id
         self._log = log
         self._task: asyncio.Task[Continuation | None] | None = None
+        self._background: set[asyncio.Task[None]] = set()
         self._not_before = 0.0
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
 
@@ -94,6 +96,15 @@
         if self._decision is not None and not self._decision.done():
             self._decision.set_result(decision)
 
+    def take_copy_dropped(self, dropped: CopyDropped) -> None:
+        """Pass over it: the copy of a place that is not used yet is not made."""
+
+    def discard(self, keeper: str) -> None:
+        """Free the copy of the run that a target keeps."""
+        task = asyncio.create_task(self._discard(keeper))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     async def _move(
         self, old: TargetChosen, reservation: ReservationRequest
     ) -> Continuation | None:
@@ -111,7 +122,7 @@
                 return None
             handed_over = await self._copy(old.target, decision)
             if handed_over is not None:
-                await self._discard_backup(old)
+                await self._discard(old.backup)
             return handed_over
         finally:
             self._instance.stop_listening(key)
@@ -152,9 +163,8 @@
         record = self._instance.board.read(TARGETS).get(target)
         return record is None or record.state is not TargetState.LIVE
 
-    async def _discard_backup(self, old: TargetChosen) -> None:
-        """Free the copy that the run had while it was at its old place."""
-        keeper = self._instance.board.read(TARGETS).get(old.backup)
+    async def _discard(self, name: str) -> None:
+        keeper = self._instance.board.read(TARGETS).get(name)
         if keeper is None or keeper.state is TargetState.GONE:
             return
         freed = await self._mover.discard(keeper.address, self._request_id)
