--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -22,6 +22,9 @@
 _HEARTBEAT_TIMEOUT_MILLISECONDS = 1500
 _RECONNECT_MILLISECONDS = 100
 _RECONNECT_LIMIT_MILLISECONDS = 1000
+#: The kernel repeats an attempt to connect ever more rarely; a new one is made
+#: sooner, so that a link is used soon after a cut.
+_CONNECT_MILLISECONDS = 500
 _LARGEST_MESSAGE_BYTES = 64 * 1024 * 1024
 
 Receiver = Callable[[str, PeerMessage], None]
@@ -198,6 +201,7 @@
         sender.setsockopt(zmq.SNDHWM, _SEND_QUEUE_MESSAGES)
         sender.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MILLISECONDS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_LIMIT_MILLISECONDS)
+        sender.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_MILLISECONDS)
         _watch_link(sender)
         sender.connect(f"tcp://{peer.address}")
         return sender
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/tests/test_peers.py
@@ -0,0 +1,102 @@
+import asyncio
+import socket
+
+from heathertack.messages import LeaderHint, PeerMessage
+from heathertack.settings import Settings
+from heathertack_fakes import HOST, find_free_ports
+from heathertackd import configure_logs
+from heathertackd._metrics import Metrics
+from heathertackd._peers import PeerNetwork
+
+
+_CUT_SECONDS = 7.5
+
+
+def build_settings(port: int) -> Settings:
+    return {
+        "instance": f"{HOST}:{port}",
+        "cluster": "test",
+        "failure_domain": "a",
+        "http": {"host": HOST, "port": 1},
+        "peer": {"host": HOST, "port": port},
+        "peers": [],
+        "membership": {"seeds": []},
+        "operator_keys": {},
+        "platform_url": "",
+    }
+
+
+class Peer:
+    """A network that keeps what it receives."""
+
+    def __init__(self, port: int) -> None:
+        self.name = f"{HOST}:{port}"
+        self.received: list[tuple[str, PeerMessage]] = []
+        self.network = PeerNetwork(
+            build_settings(port),
+            lambda sender, message: self.received.append((sender, message)),
+            Metrics(),
+            configure_logs("test", "critical"),
+        )
+
+    async def wait_for_message(self, seconds: float) -> None:
+        async with asyncio.timeout(seconds):
+            while not self.received:
+                await asyncio.sleep(0.02)
+
+
+class UnreachablePort:
+    """A port whose queue of new connections is full: connecting to it hangs."""
+
+    def __init__(self, port: int) -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((HOST, port))
+        self._listener.listen(0)
+        self._fillers = [socket.socket() for _ in range(4)]
+        for filler in self._fillers:
+            filler.setblocking(False)
+            filler.connect_ex((HOST, port))
+
+    def close(self) -> None:
+        for opened in (*self._fillers, self._listener):
+            opened.close()
+
+
+class TestNamedByAddress:
+    async def test_message_names_its_sender(self) -> None:
+        first, second = (Peer(port) for port in find_free_ports(2))
+        await first.network.start()
+        await second.network.start()
+        first.network.send(second.name, LeaderHint("x"))
+        await second.wait_for_message(5.0)
+        assert second.received == [(first.name, LeaderHint("x"))]
+        await first.network.stop()
+        await second.network.stop()
+
+    async def test_name_that_is_no_address_gets_nothing(self) -> None:
+        (port,) = find_free_ports(1)
+        peer = Peer(port)
+        await peer.network.start()
+        peer.network.send("entry-1", LeaderHint("x"))
+        await peer.network.stop()
+
+
+class TestSilentLinks:
+    async def test_peer_is_heard_of_soon_after_a_cut(self) -> None:
+        """Attempts to connect that began in a cut must not outlast it.
+
+        The kernel repeats them each second at first, then after 7, 11 and 19 s.
+        """
+        own, other = find_free_ports(2)
+        sender = Peer(own)
+        await sender.network.start()
+        unreachable = UnreachablePort(other)
+        receiver = Peer(other)
+        sender.network.send(receiver.name, LeaderHint("x"))
+        await asyncio.sleep(_CUT_SECONDS)
+        unreachable.close()
+        await receiver.network.start()
+        await receiver.wait_for_message(2.0)
+        await sender.network.stop()
+        await receiver.network.stop()
