--- a/packages/heathertackd/src/heathertackd/tests/test_peers.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_peers.py
@@ -8,7 +8,6 @@
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
 
-
 _CUT_SECONDS = 7.5
 
 
