--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -5,7 +5,7 @@
 from heathertackd._disk import FolderDisk
 from heathertackd._instance import Instance
 from heathertackd._leaving_watcher import LeavingReporter, LeavingWatcher
-from heathertackd._logs import Logger, configure_logs
+from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._retry_allowance import RetryAllowance
 from heathertackd._surface import BuildSurface, Surface
 from heathertackd._watchers import PlatformWatcher, TargetLister
@@ -23,6 +23,7 @@
     "StartError",
     "Surface",
     "TargetLister",
+    "close_logs",
     "configure_logs",
     "monotonic",
 ]
--- a/packages/heathertackd/src/heathertackd/_logs.py
+++ b/packages/heathertackd/src/heathertackd/_logs.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import logging
-import sys
+from typing import TextIO, cast
 
 import structlog
 
+from heathertackd._log_writer import LogWriter
+
+#: Descriptor of the standard output.
+_STANDARD_OUTPUT = 1
+#: Longest wait for a reader of the last lines, seconds.
+_CLOSE_SECONDS = 1.0
+
 Logger = structlog.typing.FilteringBoundLogger
 
 
+_writer: LogWriter | None = None
+
+
 def configure_logs(instance: str, level: str) -> Logger:
     """Send logs to standard output.
 
@@ -38,7 +48,21 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(file=_open_writer()),
     )
     logger: Logger = structlog.get_logger(instance=instance)
     return logger
+
+
+def close_logs() -> None:
+    """Write the last lines before the process ends."""
+    if _writer is not None:
+        _writer.close(_CLOSE_SECONDS)
+
+
+def _open_writer() -> TextIO:
+    """Return the only writer of the process."""
+    global _writer  # noqa: PLW0603
+    if _writer is None:
+        _writer = LogWriter(_STANDARD_OUTPUT)
+    return cast(TextIO, _writer)
--- a/packages/heathertackd/src/heathertackd/command.py
+++ b/packages/heathertackd/src/heathertackd/command.py
@@ -13,7 +13,7 @@
 
 from heathertack.settings import Settings, parse_settings
 from heathertackd._daemon import Daemon, StartError, form_cluster
-from heathertackd._logs import Logger, configure_logs
+from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._standard_surface import StandardSurface
 
 _USAGE = """The heathertack daemon.
@@ -68,6 +68,7 @@
             level = settings.get("log_level", "info")
             logger = configure_logs(settings["instance"], level)
             asyncio.run(_run(settings, logger))
+            close_logs()
         elif options["form"]:
             print(form_cluster(settings))
         else:
