--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_reservation_routers.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_reservation_routers.py
@@ -223,11 +223,11 @@
 
     def _tick(self) -> None:
         self._set_targets(self._group)
-        live = frozenset({"entry"})
+        gone: frozenset[str] = frozenset()
         for key in self._arrivals:
             if key not in self._served:
                 self._group.refresh(key, self._simulation.now)
-        self._send(self._group.pass_time(live, self._simulation.now))
+        self._send(self._group.pass_time(gone, self._simulation.now))
 
     def _read_loads(self) -> None:
         for engine in self._simulation.alive:
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -135,7 +135,7 @@
         self._seen_targets: Mapping[str, TargetRecord] | None = None
         self._seen_members: Mapping[str, object] | None = None
         self._owned: frozenset[str] = frozenset()
-        self._live: frozenset[str] = frozenset()
+        self._gone: frozenset[str] = frozenset()
         board.register(self)
 
     @property
@@ -243,7 +243,7 @@
     def _pass_time(self, now: float) -> tuple[SendToPeer, ...]:
         replies: list[SendToPeer] = []
         for name, group in tuple(self._groups.items()):
-            replies.extend(_send(group.pass_time(self._live, now)))
+            replies.extend(_send(group.pass_time(self._gone, now)))
             if group.is_idle and name not in self._owned:
                 del self._groups[name]
         return tuple(replies)
@@ -265,8 +265,8 @@
         self._seen_targets = targets
         self._seen_members = members
         alive = [m.instance for m in members.values() if m.state is MemberState.ALIVE]
-        self._live = frozenset(
-            m.instance for m in members.values() if m.state is not MemberState.GONE
+        self._gone = frozenset(
+            m.instance for m in members.values() if m.state is MemberState.GONE
         )
         groups = divide_targets(targets)
         self._group_of_target = {
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -235,13 +235,14 @@
         if index is not None:
             index.note_event(sequence, stored, evicted)
 
-    def pass_time(self, live: frozenset[str], now: float) -> tuple[AddressedReply, ...]:
+    def pass_time(self, gone: frozenset[str], now: float) -> tuple[AddressedReply, ...]:
         """Drop what nobody waits for, refuse what is late, and place the rest.
 
         Parameters
         ----------
-        live : frozenset of str
-            Instances that are not gone.
+        gone : frozenset of str
+            Instances that are gone. One that is not listed yet may have started a
+            moment ago.
         now : float
             Monotonic clock, seconds.
 
@@ -253,12 +254,12 @@
         self._quantile.pass_time(now)
         limit = now - self._tuning.reservation_timeout
         for generation_id, held in tuple(self._held.items()):
-            if held.heard_at < limit or held.instance not in live:
+            if held.heard_at < limit or held.instance in gone:
                 self._drop(generation_id)
         refusals: list[AddressedReply] = []
         for queued in tuple(self._queue.ordered()):
             waiting = queued.item
-            if waiting.heard_at < limit or waiting.instance not in live:
+            if waiting.heard_at < limit or waiting.instance in gone:
                 self._queue.remove(queued.key)
             elif now >= waiting.deadline:
                 self._queue.remove(queued.key)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -16,7 +16,7 @@
 from heathertack.policy import AdmissionTuning, LengthEstimator
 
 TUNING = AdmissionTuning(settling=0.0)
-LIVE = frozenset({"entry"})
+NOBODY: frozenset[str] = frozenset()
 
 
 def request(
@@ -155,7 +155,7 @@
         group.note_load("e0", EngineLoad(1, 1, 0, 10, 1000, 0), 0.0)
         group.note_load("e0", EngineLoad(2, 1, 0, 10, 1000, 2), 0.5)
         assert group.quantile > before
-        group.pass_time(LIVE, 1000.0)
+        group.pass_time(NOBODY, 1000.0)
         assert group.quantile == before
 
 
@@ -208,7 +208,7 @@
         group.started("a")
         group.ask(request("b", prompt=800, patience=2.0))
         group.started("a", 1.9)
-        group.keep(group.group.pass_time(LIVE, 2.0))
+        group.keep(group.group.pass_time(NOBODY, 2.0))
         assert self.refusal(group, "b").code == "overloaded"
 
     def test_hopeless_request_is_refused_at_once(self) -> None:
@@ -261,20 +261,34 @@
         assert not group.dispatch(10.7)
 
     @pytest.mark.parametrize(
-        ("live", "now"), [(frozenset[str](), 1.0), (LIVE, 5.0)], ids=["gone", "silent"]
+        ("gone", "now"),
+        [(frozenset({"entry"}), 1.0), (NOBODY, 5.0)],
+        ids=["gone", "silent"],
     )
     def test_reservations_of_a_lost_entry_are_freed(
-        self, live: frozenset[str], now: float
+        self, gone: frozenset[str], now: float
     ) -> None:
         group = Group()
         group.ask(request("a"))
-        group.group.pass_time(live, now)
+        group.group.pass_time(gone, now)
         assert group.group.is_idle
 
     def test_unknown_generation_is_asked_for(self) -> None:
         assert not Group().group.note_progress("x", 3, 0.0)
 
 
+class TestStart:
+    """Load pattern: requests right after the start, when tables are still empty."""
+
+    def test_request_of_an_entry_that_is_not_listed_yet_keeps_waiting(self) -> None:
+        group = Group(engines=0)
+        group.ask(request("a"))
+        group.group.pass_time(NOBODY, 0.5)
+        group.group.set_targets({"e0": TargetCapacity(1000)})
+        group.keep(group.group.dispatch(0.6))
+        assert isinstance(group.replies["a"], ReservationGrant)
+
+
 class TestCopies:
     """Load pattern: long streams on engines that are reclaimed all the time."""
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_order.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_order.py
@@ -15,6 +15,10 @@
 #: Part of the latency objective that a request may wait for a target. The rest is
 #: left for the target to begin.
 _WAIT_PER_OBJECTIVE = 0.9
+#: Part of the remaining time, and the longest time, that a request may wait though
+#: its answer will be late: a new admission owner decides after 0.6 s.
+_LATE_WAIT_PER_TIME_LEFT = 0.25
+_LONGEST_LATE_WAIT_SECONDS = 1.5
 #: Part of the remaining time that a request may wait where nothing is aimed at.
 _WAIT_PER_TIME_LEFT = 0.4
 
@@ -67,8 +71,9 @@
         objective = self.route.get("latency_objective")
         if objective is None:
             return left * _WAIT_PER_TIME_LEFT
-        spent = now - self.received_at
-        return min(max(objective * _WAIT_PER_OBJECTIVE - spent, 0.0), left)
+        in_time = objective * _WAIT_PER_OBJECTIVE - (now - self.received_at)
+        late = min(left * _LATE_WAIT_PER_TIME_LEFT, _LONGEST_LATE_WAIT_SECONDS)
+        return min(max(in_time, late), left)
 
 
 def find_deadline(
