--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
 SOURCES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml constraints.txt
 
-.PHONY: test demo prove measure bench format
+.PHONY: test demo prove measure bench soak format
 
 $(VENV)/.installed: $(SOURCES)
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,7 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.bench --bin=$(BIN)
+
+# Random faults on real processes: make soak SEED=1 COUNT=50
+soak: $(VENV)/.installed
+	$(BIN)/python -m heathertack_platform.soak --seed=$(SEED) --count=$(COUNT)
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -22,6 +22,7 @@
 from heathertack.messages import (
     MemberState,
     ReservationAnnounce,
+    ReservationBlame,
     ReservationProgress,
     ReservationRelease,
     ReservationRequest,
@@ -64,6 +65,12 @@
     release: ReservationRelease
 
 
+class BlameReceived(NamedTuple):
+    """An entry saw a target go down while it ran a request."""
+
+    blame: ReservationBlame
+
+
 class LoadReceived(NamedTuple):
     """An engine reported its load."""
 
@@ -97,6 +104,7 @@
     | AnnounceReceived
     | ProgressReceived
     | ReleaseReceived
+    | BlameReceived
     | LoadReceived
     | LoadMissed
     | CacheEventReceived
@@ -178,6 +186,9 @@
                 return self._note_progress(event, now)
             case ReleaseReceived():
                 return self._release(event.release, now)
+            case BlameReceived():
+                self._group(event.blame.group, now).note_blame(event.blame, now)
+                return ()
             case LoadReceived():
                 self._note_load(event, now)
                 return ()
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from heathertack.controllers._admission_types import (
     AddressedReply,
@@ -14,6 +15,7 @@
 from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
@@ -34,6 +36,10 @@
 )
 
 _LOSSES_TO_QUARANTINE = 2
+#: Time after which a request is no longer blamed for the targets that it lost.
+_LOSS_MEMORY_SECONDS = 60.0
+#: Requests that are blamed at one time.
+_MOST_LOSSES = 10_000
 _PREDICTIONS_PER_DOUBLING = 6
 
 
@@ -73,7 +79,7 @@
         self._moving: dict[str, frozenset[str]] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
-        self._losses: dict[str, int] = {}
+        self._losses: dict[str, _Losses] = {}
         self._quantile = ReservedQuantile(tuning, now)
         self._waits = WaitEstimator(tuning.rate_window)
 
@@ -131,7 +137,7 @@
             return (AddressedReply(instance, grant),)
         if held is not None:
             self._drop(request.generation_id)
-        losses = max(losses, self._losses.get(request.fingerprint, 0))
+        losses = max(losses, self._count_losses(request.fingerprint, now))
         if losses >= _LOSSES_TO_QUARANTINE:
             longest = self._tuning.retry_after_bounds[1]
             reason = f"{losses} targets were lost to this request"
@@ -199,13 +205,36 @@
             self._estimator.observe(
                 request.service, request.account, request.class_name, release.made
             )
+            self._losses.pop(request.fingerprint, None)
         if release.outcome is ReservationOutcome.TARGET_LOST:
-            losses = self._losses.get(request.fingerprint, 0) + 1
-            self._losses[request.fingerprint] = losses
+            self._note_loss(request.fingerprint, now)
         if release.outcome in _TARGET_FAILURES:
             pause = _TARGET_FAILURES[release.outcome]
             self._avoid_until[held.target] = now + pause
 
+    def note_blame(self, blame: ReservationBlame, now: float) -> None:
+        """Count a target that went down while it ran a request."""
+        self._note_loss(blame.fingerprint, now)
+        pause = _TARGET_FAILURES[ReservationOutcome.TARGET_LOST]
+        self._avoid_until[blame.target] = now + pause
+
+    def _note_loss(self, fingerprint: str, now: float) -> None:
+        count = self._count_losses(fingerprint, now) + 1
+        self._losses.pop(fingerprint, None)
+        self._losses[fingerprint] = _Losses(count, now)
+        while len(self._losses) > _MOST_LOSSES:
+            del self._losses[next(iter(self._losses))]
+
+    def _count_losses(self, fingerprint: str, now: float) -> int:
+        """Return the targets that a request lost lately, and since it last ended well.
+
+        Requests that many callers send alike share a fingerprint.
+        """
+        losses = self._losses.get(fingerprint)
+        if losses is None or now - losses.last_at > _LOSS_MEMORY_SECONDS:
+            return 0
+        return losses.targets
+
     def note_load(self, target: str, load: EngineLoad, now: float) -> None:
         """Take over a load report."""
         ledger = self._ledgers.get(target)
@@ -585,8 +614,16 @@
             self._queue.charge(held.request.account, held.request.share, tokens)
 
 
+class _Losses(NamedTuple):
+    """Targets that went down with a request."""
+
+    targets: int
+    last_at: float
+
+
 #: Seconds for which a target is avoided after a failure.
 _TARGET_FAILURES = {
+    ReservationOutcome.ANSWER_LOST: 0.3,
     ReservationOutcome.TARGET_LOST: 5.0,
     ReservationOutcome.UNREACHABLE: 2.0,
     ReservationOutcome.REJECTED: 1.0,
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -18,6 +18,7 @@
     MemberState,
     ProgressItem,
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
@@ -77,11 +78,25 @@
     outcome: ReservationOutcome
 
 
+class TargetBlamed(NamedTuple):
+    """A target went down while it ran a generation, which may be over by now."""
+
+    request: ReservationRequest
+    target: str
+
+
 class PlacementDue(NamedTuple):
     """The clock advanced."""
 
 
-Event = PlacementWanted | OwnerReplied | TokensMade | PlacementEnded | PlacementDue
+Event = (
+    PlacementWanted
+    | OwnerReplied
+    | TokensMade
+    | PlacementEnded
+    | TargetBlamed
+    | PlacementDue
+)
 
 
 class TargetChosen(NamedTuple):
@@ -180,6 +195,8 @@
                 return self._note_tokens(event, now)
             case PlacementEnded():
                 return self._end(event)
+            case TargetBlamed():
+                return self._blame(event, now)
             case PlacementDue():
                 return self._pass_time(now)
             case _:
@@ -321,6 +338,16 @@
         )
         return (SendToPeer(placement.owner, release),)
 
+    def _blame(self, event: TargetBlamed, now: float) -> tuple[Action, ...]:
+        groups = divide_targets(self._board.read(TARGETS))
+        known = next((g for g, names in groups.items() if event.target in names), "")
+        group = known or f"{event.request.service}:0"
+        owner = self._find_owner(group, now)
+        if owner is None:
+            return ()
+        blame = ReservationBlame(group, event.request.fingerprint, event.target)
+        return (SendToPeer(owner, blame),)
+
     def _pass_time(self, now: float) -> tuple[Action, ...]:
         actions: list[Action] = []
         for placement in tuple(self._placements.values()):
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -5,6 +5,7 @@
 from heathertack.controllers import AdmissionGroup, EngineLoad, TargetCapacity
 from heathertack.messages import (
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
@@ -277,6 +278,43 @@
         assert not Group().group.note_progress("x", 3, 0.0)
 
 
+class TestBlame:
+    """Load pattern: one popular request, whose answers are lost now and then."""
+
+    def lose(self, group: Group, key: str, outcome: ReservationOutcome) -> None:
+        group.ask(request(key, fingerprint="f"))
+        lost = ReservationRelease("tutor:0", key, 1, outcome, 0)
+        group.group.release(lost, 0.0)
+
+    def blame(self, group: Group, now: float) -> None:
+        group.group.note_blame(ReservationBlame("tutor:0", "f", "e0"), now)
+
+    def test_lost_answers_alone_are_no_reason_to_refuse(self) -> None:
+        group = Group(engines=3)
+        for key in ("a", "b", "c"):
+            self.lose(group, key, ReservationOutcome.ANSWER_LOST)
+        group.ask(request("d", fingerprint="f"))
+        assert isinstance(group.replies["d"], ReservationGrant)
+
+    @pytest.mark.parametrize(("at", "is_refused"), [(30.0, True), (61.0, False)])
+    def test_request_that_brings_targets_down_is_refused_for_a_while(
+        self, at: float, is_refused: bool
+    ) -> None:
+        group = Group(engines=3)
+        self.blame(group, 0.0)
+        self.blame(group, 0.5)
+        group.ask(request("d", fingerprint="f"), at)
+        assert isinstance(group.replies["d"], ReservationRefusal) is is_refused
+
+    def test_one_that_ends_well_is_blamed_no_more(self) -> None:
+        group = Group(engines=3)
+        self.blame(group, 0.0)
+        self.lose(group, "a", ReservationOutcome.FINISHED)
+        self.blame(group, 1.0)
+        group.ask(request("d", fingerprint="f"), 2.0)
+        assert isinstance(group.replies["d"], ReservationGrant)
+
+
 class TestStart:
     """Load pattern: requests right after the start, when tables are still empty."""
 
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -22,6 +22,7 @@
 from heathertack.messages._reservations import (
     ProgressItem,
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationOutcome,
@@ -50,6 +51,7 @@
     "PeerMessage",
     "ProgressItem",
     "ReservationAnnounce",
+    "ReservationBlame",
     "ReservationCopyDropped",
     "ReservationGrant",
     "ReservationOutcome",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -15,6 +15,7 @@
 from heathertack.messages._codec import MessageCodec
 from heathertack.messages._reservations import (
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationProgress,
@@ -207,6 +208,7 @@
     | ReservationUnknown
     | ReservationRelease
     | ReservationCopyDropped
+    | ReservationBlame
 )
 
 #: Codec of control messages.
@@ -233,5 +235,6 @@
         ReservationUnknown,
         ReservationRelease,
         ReservationCopyDropped,
+        ReservationBlame,
     )
 )
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -116,6 +116,8 @@
     FINISHED = "finished"
     CANCELLED = "cancelled"
     TARGET_LOST = "target_lost"
+    #: The answer is lost; the target may be well.
+    ANSWER_LOST = "answer_lost"
     UNREACHABLE = "unreachable"
     REJECTED = "rejected"
 
@@ -128,3 +130,11 @@
     attempt: int
     outcome: ReservationOutcome
     made: int
+
+
+class ReservationBlame(NamedTuple):
+    """Tells that a target went down while it ran a request."""
+
+    group: str
+    fingerprint: str
+    target: str
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -30,6 +30,7 @@
     AnnounceLeadership,
     AnnounceReceived,
     AnswerCommand,
+    BlameReceived,
     BundleCommitted,
     CommandSubmitted,
     ConfirmBundleInForce,
@@ -73,6 +74,7 @@
     LeaseRequest,
     PeerMessage,
     ReservationAnnounce,
+    ReservationBlame,
     ReservationCopyDropped,
     ReservationGrant,
     ReservationProgress,
@@ -379,6 +381,9 @@
             case ReservationRelease():
                 released = ReleaseReceived(message)
                 self._carry_out(self.admission.handle(released, now))
+            case ReservationBlame():
+                blamed = BlameReceived(message)
+                self._carry_out(self.admission.handle(blamed, now))
             case (
                 ReservationGrant()
                 | ReservationRefusal()
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -17,6 +17,7 @@
     PlacementEnded,
     PlacementWanted,
     Refusal,
+    TargetBlamed,
     TargetChosen,
     TargetFailed,
     TargetSucceeded,
@@ -51,6 +52,11 @@
 #: Wait for the first list of targets, which comes with the leases.
 _TARGETS_SECONDS = 1.0
 _TARGETS_STEP_SECONDS = 0.1
+#: Targets that may break off one stream: each of them may have been brought down by
+#: it, and a third one is not risked.
+_MOST_BREAKS = 2
+#: Reports that outlive their request.
+_BACKGROUND: set[asyncio.Task[None]] = set()
 #: A run with fewer tokens to come ends before a move would help.
 _LEAST_MOVED_TOKENS = 40
 #: Wait for the end of a move whose run has stopped, seconds.
@@ -61,7 +67,7 @@
 _OUTCOMES = {
     ExchangeFailure.NOT_SENT: ReservationOutcome.UNREACHABLE,
     ExchangeFailure.NOT_RUN: ReservationOutcome.REJECTED,
-    ExchangeFailure.MAY_HAVE_RUN: ReservationOutcome.TARGET_LOST,
+    ExchangeFailure.MAY_HAVE_RUN: ReservationOutcome.ANSWER_LOST,
 }
 
 
@@ -94,6 +100,8 @@
         self._request = request
         self._attempt = 0
         self._sends = 0
+        #: Targets that broke off though they were not leaving.
+        self._breaks = 0
         self._excluded: tuple[str, ...] = ()
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
         self._placed: TargetChosen | None = None
@@ -418,6 +426,8 @@
         """Tell whether a stream can go on at another target."""
         if continuation.placed is not None:
             return True
+        if self._breaks >= _MOST_BREAKS:
+            return False
         if continuation.target:
             keeper = self._instance.board.read(TARGETS).get(continuation.target)
             return keeper is not None and keeper.state is not TargetState.GONE
@@ -515,15 +525,29 @@
         )
         self._excluded = (*self._excluded, placed.target)
         record = self._instance.board.read(TARGETS).get(placed.target)
-        is_leaving = record is None or record.state is not TargetState.LIVE
+        is_live = record is not None and record.state is TargetState.LIVE
         outcome = _OUTCOMES[error.failure]
-        if is_leaving and outcome is ReservationOutcome.TARGET_LOST:
-            outcome = ReservationOutcome.UNREACHABLE
+        may_have_run = error.failure is ExchangeFailure.MAY_HAVE_RUN
+        if may_have_run and is_live and record is not None:
+            self._breaks += 1
+            blaming = asyncio.create_task(self._blame(record))
+            _BACKGROUND.add(blaming)
+            blaming.add_done_callback(_BACKGROUND.discard)
         if error.failure is not ExchangeFailure.NOT_RUN:
             now = _clock.monotonic()
             self._instance.health.handle(TargetFailed(placed.target), now)
         self._release(outcome)
 
+    async def _blame(self, target: TargetRecord) -> None:
+        """Report a target that went down while it ran the request."""
+        if await self._client.is_reachable(target.address):
+            return
+        self._log("target_lost", target=target.name)
+        now = _clock.monotonic()
+        reservation = build_reservation(self._order, self._attempt, (), now)
+        blamed = TargetBlamed(reservation, target.name)
+        self._instance.carry_out(self._instance.placement.handle(blamed, now))
+
     def _note_success(self, placed: TargetChosen) -> None:
         now = _clock.monotonic()
         self._instance.health.handle(TargetSucceeded(placed.target), now)
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from enum import StrEnum
 from typing import NamedTuple
@@ -15,6 +16,8 @@
 
 #: A target that takes no connection for this long is taken for lost, seconds.
 _CONNECT_SECONDS = 1.0
+#: Wait for a connection that only shows whether a target is up, seconds.
+_PROBE_SECONDS = 0.4
 #: Callers take these for the promise that the request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 _AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -133,6 +136,17 @@
         self._session = session
         self._dialect = dialect
 
+    async def is_reachable(self, address: str) -> bool:
+        """Tell whether a target takes connections."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(_PROBE_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def send(self, request: TargetRequest) -> Result[TargetAnswer, ExchangeError]:
         """Send a request and wait for the header of its answer."""
         try:
