--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -76,6 +76,7 @@
         self._loads: dict[str, EngineLoad] = {}
         self._slots: dict[str, int] = {}
         self._domains: dict[str, str] = {}
+        self._last_wait_at = float("-inf")
         self._moving: dict[str, frozenset[str]] = {}
         self._avoid_until: dict[str, float] = {}
         self._usable: frozenset[str] = frozenset()
@@ -146,7 +147,7 @@
         if request.preferred in self._usable:
             waiting = WaitingRequest(request, instance, now, now, losses)
             return (self._place(waiting, request.preferred, now),)
-        if queued is None:
+        if queued is None and not request.is_running:
             refusal = self._refuse_early(request, instance, now)
             if refusal is not None:
                 return (refusal,)
@@ -312,6 +313,10 @@
                 self._queue.remove(queued.key)
                 replies.append(self._place(waiting, target, now))
                 continue
+            if waiting.request.is_running:
+                continue
+            if self._lacks_memory(waiting.request, now):
+                self._last_wait_at = now
             passed += 1
             is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
             if is_old_head or passed > self._tuning.look_ahead:
@@ -457,6 +462,11 @@
         dropped = ReservationCopyDropped(generation_id, held.backup)
         return AddressedReply(held.instance, dropped)
 
+    def _lacks_memory(self, request: ReservationRequest, now: float) -> bool:
+        """Tell whether a request waits for memory, not only for prompts before it."""
+        candidates = self._candidates(request, now)
+        return any(self._has_slot(request, target) for target in candidates)
+
     def _least_cached_first(self, request: ReservationRequest, now: float) -> list[str]:
         """Order targets by what they hold, less what a kept prefix would save."""
         weight = self._tuning.prefix_weight
@@ -501,6 +511,8 @@
         if not ledger.is_empty and peak > limit:
             return None
         crowding = tuning.run_weight * ledger.count
+        if request.is_running and self._is_far(request, target):
+            crowding += tuning.backup_distance
         return (peak - tuning.prefix_weight * saved) / capacity + crowding
 
     def _has_slot(self, request: ReservationRequest, target: str) -> bool:
@@ -515,6 +527,11 @@
         prompt = max(request.prompt_tokens - saved, 0)
         return not waiting or waiting + prompt <= self._tuning.prefill_budget
 
+    def _is_far(self, request: ReservationRequest, target: str) -> bool:
+        """Tell whether a move to a target would cross failure domains."""
+        origins = {self._domains.get(source, "") for source in request.excluded}
+        return self._domains.get(target) not in origins
+
     def _is_link_busy(self, request: ReservationRequest, target: str) -> bool:
         """Tell whether a move from or to one of two targets is in progress.
 
@@ -524,9 +541,21 @@
         ends = frozenset((*request.excluded, target))
         return any(ends & busy for busy in self._moving.values())
 
-    def _choose_backup(self, request: ReservationRequest, target: str) -> str:
+    def _run_load(self, added: LedgerEntry) -> float:
+        """Return the part of all caches that runs fill with one more of them."""
+        ledgers = [self._ledgers[target] for target in self._usable]
+        capacity = sum(ledger.capacity for ledger in ledgers)
+        filled = sum(ledger.run_tokens for ledger in ledgers)
+        return (filled + added.cached) / max(capacity, 1)
+
+    def _choose_backup(
+        self, request: ReservationRequest, target: str, now: float
+    ) -> str:
         """Return the target with the most room for a copy, empty if none has any."""
         entry = self._predict(request, 0)
+        is_calm = now - self._last_wait_at >= self._tuning.calm_before_copies
+        if not is_calm or self._run_load(entry) > self._tuning.copied_load:
+            return ""
         rooms: list[tuple[float, str]] = []
         for other in self._usable - {target}:
             ledger = self._ledgers[other]
@@ -558,7 +587,9 @@
         request = waiting.request
         ledger = self._ledgers[target]
         before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
-        backup = self._choose_backup(request, target) if request.wants_backup else ""
+        backup = (
+            self._choose_backup(request, target, now) if request.wants_backup else ""
+        )
         if request.is_running:
             ends = frozenset((*request.excluded, target))
             self._moving[request.generation_id] = ends
--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -77,6 +77,12 @@
         """Tokens in the cache, as far as known."""
         return self._foreign_tokens + self._own_tokens
 
+    @property
+    def run_tokens(self) -> int:
+        """Tokens in the cache that belong to runs, not to copies."""
+        copies = sum(self._entries[key].cached for key in self._copies)
+        return self._own_tokens - copies
+
     @property
     def waiting_prompt_tokens(self) -> int:
         """Prompt tokens of generations that have no first token yet."""
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -22,6 +22,13 @@
     #: Part of the cache that the projected peak may fill with a further copy of
     #: a generation of another target.
     backup_limit: float = 0.85
+    #: Part of all caches that runs may fill while further copies are made. A copy
+    #: doubles what a run takes, and can't be taken back at once.
+    copied_load: float = 0.4
+    #: Time without a request that waits for memory after which copies are made,
+    #: seconds: longer than most streams last, so that memory is free again when a
+    #: burst returns.
+    calm_before_copies: float = 10.0
     #: Added to the part of a cache that is filled when a copy would have to cross
     #: failure domains, which takes twice as long.
     backup_distance: float = 0.2
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -58,7 +58,7 @@
 #: Reports that outlive their request.
 _BACKGROUND: set[asyncio.Task[None]] = set()
 #: A run with fewer tokens to come ends before a move would help.
-_LEAST_MOVED_TOKENS = 40
+_LEAST_MOVED_TOKENS = 100
 #: Wait for the end of a move whose run has stopped, seconds.
 _HAND_OVER_SECONDS = 0.5
 #: Targets that may refuse the connection of one request.
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -26,8 +26,9 @@
 
 #: Wait before a move is tried again that found no room or failed, seconds.
 _RETRY_SECONDS = 0.5
-#: Longest wait for a place. A move that has to wait would come too late.
-_PATIENCE_SECONDS = 0.3
+#: Longest wait for a place: moves from one engine go one after the other, and it is
+#: gone one to two seconds after its notice.
+_PATIENCE_SECONDS = 1.5
 
 Log = Callable[..., None]
 
