--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -287,7 +287,7 @@
             if held.heard_at < limit or held.instance in gone:
                 self._drop(generation_id)
         refusals: list[AddressedReply] = []
-        for queued in tuple(self._queue.ordered()):
+        for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
             if waiting.heard_at < limit or waiting.instance in gone:
                 self._queue.remove(queued.key)
@@ -303,7 +303,7 @@
             return ()
         replies: list[AddressedReply] = []
         passed = 0
-        for queued in tuple(self._queue.ordered()):
+        for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
             target = self._choose_target(waiting, now)
             if target is None:
@@ -346,6 +346,7 @@
                 request.share,
                 queued_at,
                 waiting,
+                now + (request.useful_within or float("inf")),
             )
         )
 
@@ -353,7 +354,11 @@
         self, request: ReservationRequest, instance: str, now: float
     ) -> AddressedReply | None:
         """Refuse a request at once that would wait longer than it may."""
-        ahead = sum(1 for q in self._queue.ordered() if q.priority >= request.priority)
+        ahead = sum(
+            1
+            for queued in self._queue.ordered(now)
+            if queued.priority >= request.priority and queued.useful_until >= now
+        )
         estimate = self._waits.estimate(ahead, now)
         if len(self._queue) >= self._tuning.queue_limit:
             reason = f"{len(self._queue)} requests wait already"
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -285,6 +285,49 @@
         assert not Group().group.note_progress("x", 3, 0.0)
 
 
+class TestOverload:
+    """Load pattern: more requests for a while than there is memory for."""
+
+    def test_requests_that_are_late_already_come_last(self) -> None:
+        group = Group(engines=1)
+        group.ask(request("runs", prompt=800, max_tokens=10))
+        group.started("runs")
+        for key, at in (("late", 0.0), ("fresh", 1.9)):
+            wanted = request(key, prompt=800, max_tokens=10)
+            group.ask(wanted._replace(useful_within=1.6), at)
+        group.end("runs", 2.0)
+        assert isinstance(group.replies["fresh"], ReservationGrant)
+        assert isinstance(group.replies["late"], ReservationQueued)
+        group.end("fresh", 3.0)
+        assert isinstance(group.replies["late"], ReservationGrant)
+
+    def test_most_requests_are_in_time_under_overload(self) -> None:
+        """Two requests come for each one that can be served."""
+        group = Group(engines=1)
+        in_time = 0
+        running = ""
+        arrived: dict[str, float] = {}
+        for step in range(200):
+            now = step * 0.1
+            if step % 5 == 0:
+                key = f"r{step}"
+                arrived[key] = now
+                wanted = request(key, prompt=800, max_tokens=10, patience=30.0)
+                group.ask(wanted._replace(useful_within=1.6), now)
+            if step % 10 == 9 and running:
+                group.end(running, now)
+            granted = [
+                key
+                for key, reply in group.replies.items()
+                if isinstance(reply, ReservationGrant)
+            ]
+            if granted and granted[-1] != running:
+                running = max(granted, key=lambda key: arrived[key])
+                group.started(running, now)
+                in_time += now - arrived[running] <= 1.6
+        assert in_time >= 12
+
+
 class TestBlame:
     """Load pattern: one popular request, whose answers are lost now and then."""
 
--- a/packages/heathertack/src/heathertack/messages/_reservations.py
+++ b/packages/heathertack/src/heathertack/messages/_reservations.py
@@ -36,6 +36,9 @@
     preferred: str = ""
     #: Whether a second target is to keep a copy of the generation's memory.
     wants_backup: bool = False
+    #: Time within which it must begin for an answer of full use, seconds; 0 if none is
+    #: aimed at.
+    useful_within: float = 0.0
     #: Whether it runs already and moves with its memory, so that no prompt is read.
     is_running: bool = False
 
--- a/packages/heathertack/src/heathertack/policy/_fair_queue.py
+++ b/packages/heathertack/src/heathertack/policy/_fair_queue.py
@@ -1,4 +1,4 @@
-"""Queue of requests: priority, then fair shares between accounts, then age."""
+"""Queue of requests: usefulness, priority, fair shares between accounts, age."""
 
 from __future__ import annotations
 
@@ -19,11 +19,16 @@
     share: float
     queued_at: float
     item: Item
+    #: When its answer loses most of its use.
+    useful_until: float = float("inf")
 
 
 class FairQueue(Generic[Item]):
     """Orders requests by priority, tokens charged to their account, and age.
 
+    Requests that are late already come after all others: what is spent on them would
+    make further ones late.
+
     An account is charged the tokens made for it, divided by its share. One that
     was idle starts level with the least charged account that waits, so that
     idling saves up nothing.
@@ -55,9 +60,9 @@
         charged = max(self._charged.get(account, 0.0), self._floor)
         self._charged[account] = charged + tokens / share
 
-    def ordered(self) -> Iterator[QueuedItem[Item]]:
+    def ordered(self, now: float) -> Iterator[QueuedItem[Item]]:
         """Return the requests, the first one to be served first."""
-        waiting = sorted(self._items.values(), key=self._rank)
+        waiting = sorted(self._items.values(), key=lambda item: self._rank(item, now))
         if waiting:
             lowest = min(self._charged[queued.account] for queued in waiting)
             self._floor = max(self._floor, lowest)
@@ -72,5 +77,12 @@
             if account in active or charged > self._floor
         }
 
-    def _rank(self, queued: QueuedItem[Item]) -> tuple[int, float, float]:
-        return (-queued.priority, self._charged[queued.account], queued.queued_at)
+    def _rank(
+        self, queued: QueuedItem[Item], now: float
+    ) -> tuple[bool, int, float, float]:
+        return (
+            now > queued.useful_until,
+            -queued.priority,
+            self._charged[queued.account],
+            queued.queued_at,
+        )
--- a/packages/heathertack/src/heathertack/policy/tests/test_policy.py
+++ b/packages/heathertack/src/heathertack/policy/tests/test_policy.py
@@ -71,16 +71,16 @@
         for account, share in (("a", 1.0), ("b", 4.0)):
             queue.add(QueuedItem(account, account, 1, share, 0.0, account))
             queue.charge(account, share, 100.0)
-        assert [item.key for item in queue.ordered()] == ["b", "a"]
+        assert [item.key for item in queue.ordered(0.0)] == ["b", "a"]
 
     def test_idling_saves_up_nothing(self) -> None:
         queue: FairQueue[str] = FairQueue()
         queue.add(QueuedItem("a", "a", 1, 1.0, 0.0, ""))
         queue.charge("a", 1.0, 1000.0)
-        list(queue.ordered())
+        list(queue.ordered(0.0))
         queue.add(QueuedItem("b", "b", 1, 1.0, 1.0, ""))
         queue.charge("b", 1.0, 1.0)
-        assert [item.key for item in queue.ordered()] == ["a", "b"]
+        assert [item.key for item in queue.ordered(0.0)] == ["a", "b"]
 
     def test_forgets_idle_accounts(self) -> None:
         queue: FairQueue[str] = FairQueue()
@@ -88,7 +88,7 @@
             queue.charge(f"a{number}", 1.0, 1.0)
         queue.add(QueuedItem("x", "x", 1, 1.0, 0.0, ""))
         queue.charge("x", 1.0, 5.0)
-        list(queue.ordered())
+        list(queue.ordered(0.0))
         queue.forget_idle()
         assert len(queue._charged) == 1
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_order.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_order.py
@@ -15,6 +15,8 @@
 #: Part of the latency objective that a request may wait for a target. The rest is
 #: left for the target to begin.
 _WAIT_PER_OBJECTIVE = 0.9
+#: Sent for a request that is late already.
+_LEAST_USEFUL_SECONDS = 0.001
 #: Part of the remaining time, and the longest time, that a request may wait though
 #: its answer will be late: a new admission owner decides after 0.6 s.
 _LATE_WAIT_PER_TIME_LEFT = 0.25
@@ -65,6 +67,14 @@
         """Whether only a copy of its memory can carry on a stream that breaks."""
         return self.has_backups and self.route["kind"] == "streaming"
 
+    def useful_within(self, now: float) -> float:
+        """Return the time in which the request must begin to be in time, seconds."""
+        objective = self.route.get("latency_objective")
+        if objective is None:
+            return 0.0
+        spent = now - self.received_at
+        return max(objective * _WAIT_PER_OBJECTIVE - spent, _LEAST_USEFUL_SECONDS)
+
     def patience(self, now: float) -> float:
         """Return how long the request may wait for a target, seconds."""
         left = self.deadline - now
@@ -116,6 +126,7 @@
         patience=order.patience(now),
         expected_tokens=size.expected_tokens,
         wants_backup=order.wants_backup,
+        useful_within=order.useful_within(now),
     )
 
 
