--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -108,6 +108,7 @@
         self._has_place = False
         self._may_have_run = False
         self._response: web.StreamResponse | None = None
+        self._set_aside: web.Response | None = None
         self._last_event_id = order.head.last_event_id
         self._events = 0
         self._last_event_at = 0.0
@@ -330,6 +331,9 @@
         status = answer.head.status
         if status >= _SERVER_ERROR and self._may_repeat():
             error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
+            self._set_aside = web.Response(
+                status=status, headers=answer.head.headers, body=result.unwrap()
+            )
             self._log("target_answered_error", target=placed.target, status=status)
             self._excluded = (*self._excluded, placed.target)
             self._release(ReservationOutcome.FINISHED)
@@ -486,7 +490,14 @@
         return self._refuse(not_run("no_target", message, _RETRY_AFTER_SECONDS))
 
     def _answer_unknown(self, detail: str) -> web.StreamResponse:
-        """Answer a request that may have run and whose answer is lost."""
+        """Answer a request that may have run and whose answer is lost.
+
+        An error that a target answered is delivered if no other one did better.
+        """
+        if self._set_aside is not None:
+            status = self._set_aside.status
+            self._end("answered", ReservationOutcome.CANCELLED, f"status {status}")
+            return self._set_aside
         message = f"the answer of the target is lost: {detail}"
         return self._refuse(Refusal("target_lost", message, Execution.UNKNOWN, None))
 
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
@@ -154,6 +154,18 @@
                 assert (got.status, await got.read()) == (500, b"no")
             assert [len(t.received) for t in system.targets] == [1, 1]
 
+    async def test_error_of_a_target_is_delivered_if_no_other_one_answers(
+        self,
+    ) -> None:
+        scripts = (answer(b"no", 500), hang_up)
+        async with run_system(route("idempotent"), *scripts) as system:
+            statuses = set()
+            for number in range(2):
+                headers = {"X-Request-Id": f"r{number + 1}"}
+                async with system.request("GET", headers=headers) as got:
+                    statuses.add((got.status, await got.read()))
+            assert statuses == {(500, b"no")}
+
     async def test_error_of_a_target_is_delivered_where_it_ran(self) -> None:
         async with (
             run_system(route("not_repeatable"), answer(b"no", 500)) as system,
