--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -24,7 +24,7 @@
     backup_limit: float = 0.85
     #: Part of all caches that runs may fill while further copies are made. A copy
     #: doubles what a run takes, and can't be taken back at once.
-    copied_load: float = 0.35
+    copied_load: float = 0.25
     #: Time without a request that waits for memory after which copies are made,
     #: seconds: longer than most streams last, so that memory is free again when a
     #: burst returns.
