--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from heathertack.controllers._admission_types import (
     AddressedReply,
@@ -12,6 +11,7 @@
     TargetCapacity,
     WaitingRequest,
 )
+from heathertack.controllers._target_group import TargetGroup
 from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
     ReservationAnnounce,
@@ -29,17 +29,12 @@
     FairQueue,
     LedgerEntry,
     LengthEstimator,
-    PrefixIndex,
+    LossMemory,
     QueuedItem,
     ReservedQuantile,
-    TargetLedger,
 )
 
 _LOSSES_TO_QUARANTINE = 2
-#: Time after which a request is no longer blamed for the targets that it lost.
-_LOSS_MEMORY_SECONDS = 60.0
-#: Requests that are blamed at one time.
-_MOST_LOSSES = 10_000
 _PREDICTIONS_PER_DOUBLING = 6
 
 
@@ -70,17 +65,11 @@
         self._estimator = estimator
         self._settled_at = now + tuning.settling
         self._queue: FairQueue[WaitingRequest] = FairQueue()
-        self._ledgers: dict[str, TargetLedger] = {}
-        self._prefixes: dict[str, PrefixIndex] = {}
+        self._targets = TargetGroup(tuning)
         self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
-        self._slots: dict[str, int] = {}
-        self._domains: dict[str, str] = {}
         self._last_wait_at = float("-inf")
-        self._moving: dict[str, frozenset[str]] = {}
-        self._avoid_until: dict[str, float] = {}
-        self._usable: frozenset[str] = frozenset()
-        self._losses: dict[str, _Losses] = {}
+        self._losses = LossMemory()
         self._quantile = ReservedQuantile(tuning, now)
         self._waits = WaitEstimator(tuning.rate_window)
 
@@ -107,26 +96,11 @@
     @property
     def targets(self) -> tuple[str, ...]:
         """Targets that take new work."""
-        return tuple(sorted(self._usable))
+        return tuple(sorted(self._targets.usable))
 
     def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
         """Set the targets that take new work, with what they can hold."""
-        self._usable = frozenset(capacities)
-        for target, capacity in capacities.items():
-            self._domains[target] = capacity.failure_domain
-            self._slots[target] = capacity.slots or self._tuning.batch_limit
-            ledger = self._ledgers.get(target)
-            if ledger is None:
-                self._ledgers[target] = TargetLedger(capacity.cache_tokens)
-                self._prefixes[target] = PrefixIndex()
-            else:
-                ledger.capacity = capacity.cache_tokens
-        for target in tuple(self._ledgers):
-            if target not in self._usable and self._ledgers[target].is_empty:
-                del self._ledgers[target]
-                del self._prefixes[target]
-                del self._slots[target]
-                del self._domains[target]
+        self._targets.set_capacities(capacities)
 
     def request(
         self, request: ReservationRequest, instance: str, losses: int, now: float
@@ -138,13 +112,13 @@
             return (AddressedReply(instance, grant),)
         if held is not None:
             self._drop(request.generation_id)
-        losses = max(losses, self._count_losses(request.fingerprint, now))
+        losses = max(losses, self._losses.count(request.fingerprint, now))
         if losses >= _LOSSES_TO_QUARANTINE:
             longest = self._tuning.retry_after_bounds[1]
             reason = f"{losses} targets were lost to this request"
             return (self._refuse(request, instance, "quarantined", longest, reason),)
         queued = self._queue.remove(request.generation_id)
-        if request.preferred in self._usable:
+        if request.preferred in self._targets.usable:
             waiting = WaitingRequest(request, instance, now, now, losses)
             return (self._place(waiting, request.preferred, now),)
         if queued is None and not request.is_running:
@@ -186,7 +160,7 @@
         if held is None:
             return generation_id in self._queue
         if made:
-            self._moving.pop(generation_id, None)
+            self._targets.end_move(generation_id)
         self._charge(held, made)
         self._hold(
             held.request, held.instance, held.target, made, now, backup=held.backup
@@ -206,39 +180,22 @@
             self._estimator.observe(
                 request.service, request.account, request.class_name, release.made
             )
-            self._losses.pop(request.fingerprint, None)
+            self._losses.forget(request.fingerprint)
         if release.outcome is ReservationOutcome.TARGET_LOST:
-            self._note_loss(request.fingerprint, now)
+            self._losses.note_loss(request.fingerprint, now)
         if release.outcome in _TARGET_FAILURES:
             pause = _TARGET_FAILURES[release.outcome]
-            self._avoid_until[held.target] = now + pause
+            self._targets.avoid(held.target, now + pause)
 
     def note_blame(self, blame: ReservationBlame, now: float) -> None:
         """Count a target that went down while it ran a request."""
-        self._note_loss(blame.fingerprint, now)
+        self._losses.note_loss(blame.fingerprint, now)
         pause = _TARGET_FAILURES[ReservationOutcome.TARGET_LOST]
-        self._avoid_until[blame.target] = now + pause
-
-    def _note_loss(self, fingerprint: str, now: float) -> None:
-        count = self._count_losses(fingerprint, now) + 1
-        self._losses.pop(fingerprint, None)
-        self._losses[fingerprint] = _Losses(count, now)
-        while len(self._losses) > _MOST_LOSSES:
-            del self._losses[next(iter(self._losses))]
-
-    def _count_losses(self, fingerprint: str, now: float) -> int:
-        """Return the targets that a request lost lately, and since it last ended well.
-
-        Requests that many callers send alike share a fingerprint.
-        """
-        losses = self._losses.get(fingerprint)
-        if losses is None or now - losses.last_at > _LOSS_MEMORY_SECONDS:
-            return 0
-        return losses.targets
+        self._targets.avoid(blame.target, now + pause)
 
     def note_load(self, target: str, load: EngineLoad, now: float) -> None:
         """Take over a load report."""
-        ledger = self._ledgers.get(target)
+        ledger = self._targets.find_ledger(target)
         previous = self._loads.get(target)
         if ledger is None or (previous and load.sequence <= previous.sequence):
             return
@@ -251,7 +208,7 @@
 
     def note_target_silent(self, target: str, pause: float, now: float) -> None:
         """Avoid a target that does not report its load, for some seconds."""
-        self._avoid_until[target] = now + pause
+        self._targets.avoid(target, now + pause)
 
     def note_cache_event(
         self,
@@ -261,7 +218,7 @@
         evicted: tuple[int, ...],
     ) -> None:
         """Take over a cache event of a target."""
-        index = self._prefixes.get(target)
+        index = self._targets.find_prefixes(target)
         if index is not None:
             index.note_event(sequence, stored, evicted)
 
@@ -397,8 +354,9 @@
             return None
         best: tuple[float, str] | None = None
         compared = 0
-        for target in self._least_cached_first(request, now):
-            score = self._score(request, target)
+        candidate = self._predict(request, 0)
+        for target in self._targets.order_candidates(request, now):
+            score = self._targets.score(request, target, candidate)
             if score is None:
                 continue
             if best is None or (score, target) < best:
@@ -427,7 +385,7 @@
         if waiting.losses and self._is_running(request.fingerprint):
             return (), None
         best: tuple[int, str, tuple[str, ...]] | None = None
-        for target in self._candidates(request, now):
+        for target in self._targets.list_candidates(request, now):
             dropped = self._count_drops(request, target)
             if dropped and (best is None or (len(dropped), target) < best[:2]):
                 best = (len(dropped), target, dropped)
@@ -437,9 +395,10 @@
 
     def _count_drops(self, request: ReservationRequest, target: str) -> tuple[str, ...]:
         """Return the generations whose copies must go for a request to fit."""
-        ledger = self._ledgers[target]
-        if not self._has_slot(request, target):
+        ledger = self._targets.find_ledger(target)
+        if ledger is None or not self._targets.has_slot(request, target):
             return ()
+        candidate = self._predict(request, 0)
         copies = [
             (ledger.cached_of(_backup_key(key)), key)
             for key, held in self._held.items()
@@ -453,7 +412,7 @@
                     continue
                 taken.append((key, entry))
                 ledger.release(_backup_key(key))
-                if self._score(request, target) is not None:
+                if self._targets.score(request, target, candidate) is not None:
                     return tuple(name for name, _ in taken)
             return ()
         finally:
@@ -462,115 +421,29 @@
 
     def _drop_copy(self, generation_id: str) -> AddressedReply:
         held = self._held[generation_id]
-        self._ledgers[held.backup].release(_backup_key(generation_id))
+        self._release_copy(held.backup, generation_id)
         self._held[generation_id] = held._replace(backup="")
         dropped = ReservationCopyDropped(generation_id, held.backup)
         return AddressedReply(held.instance, dropped)
 
     def _lacks_memory(self, request: ReservationRequest, now: float) -> bool:
         """Tell whether a request waits for memory, not only for prompts before it."""
-        candidates = self._candidates(request, now)
-        return any(self._has_slot(request, target) for target in candidates)
-
-    def _least_cached_first(self, request: ReservationRequest, now: float) -> list[str]:
-        """Order targets by what they hold, less what a kept prefix would save."""
-        weight = self._tuning.prefix_weight
-
-        def rank(target: str) -> tuple[float, str]:
-            saved = self._prefixes[target].saved_tokens(request.prefix)
-            ledger = self._ledgers[target]
-            crowding = self._tuning.run_weight * ledger.count * ledger.capacity
-            return (ledger.cached - weight * saved + crowding, target)
-
-        return sorted(self._candidates(request, now), key=rank)
+        candidates = self._targets.list_candidates(request, now)
+        return any(self._targets.has_slot(request, target) for target in candidates)
 
     def _is_running(self, fingerprint: str) -> bool:
         """Tell whether a copy of a request is running."""
         held_requests = (held.request for held in self._held.values())
         return any(request.fingerprint == fingerprint for request in held_requests)
 
-    def _candidates(self, request: ReservationRequest, now: float) -> tuple[str, ...]:
-        usable = tuple(t for t in self._usable if t not in request.excluded)
-        if not usable and not request.is_running:
-            usable = tuple(self._usable)
-        willing = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
-        return willing or usable
-
-    def _score(self, request: ReservationRequest, target: str) -> float | None:
-        """Return the load of a target with a request added, ``None`` if it is full."""
-        tuning = self._tuning
-        ledger = self._ledgers[target]
-        if not self._has_slot(request, target):
-            return None
-        if not ledger.capacity:
-            return ledger.count / self._slots[target]
-        saved = self._prefixes[target].saved_tokens(request.prefix)
-        capacity = max(ledger.capacity, 1)
-        candidate = self._predict(request, 0)
-        limit = tuning.cache_limit * capacity
-        if candidate.cached + candidate.remaining > tuning.large_part * capacity:
-            limit = tuning.large_cache_limit * capacity
-        if not ledger.is_empty and ledger.cached + request.prompt_tokens > limit:
-            return None
-        peak = ledger.peak_with(candidate)
-        if not ledger.is_empty and peak > limit:
-            return None
-        crowding = tuning.run_weight * ledger.count
-        if request.is_running and self._is_far(request, target):
-            crowding += tuning.backup_distance
-        return (peak - tuning.prefix_weight * saved) / capacity + crowding
-
-    def _has_slot(self, request: ReservationRequest, target: str) -> bool:
-        """Tell whether a target could begin a request if it had the memory."""
-        ledger = self._ledgers[target]
-        if ledger.count >= min(self._tuning.batch_limit, self._slots[target]):
-            return False
-        if request.is_running:
-            return not self._is_link_busy(request, target)
-        waiting = ledger.waiting_prompt_tokens
-        saved = self._prefixes[target].saved_tokens(request.prefix)
-        prompt = max(request.prompt_tokens - saved, 0)
-        return not waiting or waiting + prompt <= self._tuning.prefill_budget
-
-    def _is_far(self, request: ReservationRequest, target: str) -> bool:
-        """Tell whether a move to a target would cross failure domains."""
-        origins = {self._domains.get(source, "") for source in request.excluded}
-        return self._domains.get(target) not in origins
-
-    def _is_link_busy(self, request: ReservationRequest, target: str) -> bool:
-        """Tell whether a move from or to one of two targets is in progress.
-
-        Moves of one link wait for each other, and a run stands still while the rest
-        of its memory waits.
-        """
-        ends = frozenset((*request.excluded, target))
-        return any(ends & busy for busy in self._moving.values())
-
-    def _run_load(self, added: LedgerEntry) -> float:
-        """Return the part of all caches that runs fill with one more of them."""
-        ledgers = [self._ledgers[target] for target in self._usable]
-        capacity = sum(ledger.capacity for ledger in ledgers)
-        filled = sum(ledger.run_tokens for ledger in ledgers)
-        return (filled + added.cached) / max(capacity, 1)
-
-    def _choose_backup(
+    def _choose_keeper(
         self, request: ReservationRequest, target: str, now: float
     ) -> str:
-        """Return the target with the most room for a copy, empty if none has any."""
-        entry = self._predict(request, 0)
+        """Return the target that is to keep a copy, empty for none."""
         is_calm = now - self._last_wait_at >= self._tuning.calm_before_copies
-        if not is_calm or self._run_load(entry) > self._tuning.copied_load:
+        if not request.wants_backup or not is_calm:
             return ""
-        rooms: list[tuple[float, str]] = []
-        for other in self._usable - {target}:
-            ledger = self._ledgers[other]
-            limit = self._tuning.backup_limit * ledger.capacity
-            peak = ledger.peak_with(entry)
-            if peak <= limit:
-                is_far = self._domains[other] != self._domains.get(target)
-                distance = self._tuning.backup_distance if is_far else 0.0
-                rooms.append((peak / max(ledger.capacity, 1) + distance, other))
-        return min(rooms)[1] if rooms else ""
+        return self._targets.choose_keeper(target, self._predict(request, 0))
 
     def _predict(self, request: ReservationRequest, made: int) -> LedgerEntry:
         if request.expected_tokens > made:
@@ -590,16 +463,16 @@
         self, waiting: WaitingRequest, target: str, now: float
     ) -> AddressedReply:
         request = waiting.request
-        ledger = self._ledgers[target]
-        before = f"{ledger.count} reserved, {ledger.cached}/{ledger.capacity} cached"
-        backup = (
-            self._choose_backup(request, target, now) if request.wants_backup else ""
-        )
+        ledger = self._targets.find_ledger(target)
+        before = ledger.describe() if ledger is not None else ""
+        backup = self._choose_keeper(request, target, now)
         if request.is_running:
-            ends = frozenset((*request.excluded, target))
-            self._moving[request.generation_id] = ends
+            ends = (*request.excluded, target)
+            self._targets.begin_move(request.generation_id, ends)
         self._hold(request, waiting.instance, target, 0, now, backup=backup)
-        self._prefixes[target].note_sent(request.prefix)
+        prefixes = self._targets.find_prefixes(target)
+        if prefixes is not None:
+            prefixes.note_sent(request.prefix)
         self._queue.charge(request.account, request.share, request.prompt_tokens)
         self._waits.note_grant(now)
         grant = _grant(request, target, before, backup)
@@ -627,22 +500,27 @@
             request, instance, target, made, now, length, until, backup
         )
         entry = LedgerEntry(request.prompt_tokens + made, max(length - made, 1))
-        ledger = self._ledgers.get(target)
+        ledger = self._targets.find_ledger(target)
         if ledger is not None:
             ledger.reserve(key, entry, started=made > 0 or request.is_running)
-        copies = self._ledgers.get(backup)
+        copies = self._targets.find_ledger(backup)
         if copies is not None:
             copies.reserve_copy(_backup_key(key), entry)
 
     def _drop(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
-        self._moving.pop(generation_id, None)
+        self._targets.end_move(generation_id)
         if held is None:
             return
-        if held.target in self._ledgers:
-            self._ledgers[held.target].release(generation_id)
-        if held.backup in self._ledgers:
-            self._ledgers[held.backup].release(_backup_key(generation_id))
+        ledger = self._targets.find_ledger(held.target)
+        if ledger is not None:
+            ledger.release(generation_id)
+        self._release_copy(held.backup, generation_id)
+
+    def _release_copy(self, keeper: str, generation_id: str) -> None:
+        ledger = self._targets.find_ledger(keeper)
+        if ledger is not None:
+            ledger.release(_backup_key(generation_id))
 
     def _charge(self, held: HeldReservation, made: int) -> None:
         tokens = max(made - held.made, 0)
@@ -650,13 +528,6 @@
             self._queue.charge(held.request.account, held.request.share, tokens)
 
 
-class _Losses(NamedTuple):
-    """Targets that went down with a request."""
-
-    targets: int
-    last_at: float
-
-
 #: Seconds for which a target is avoided after a failure.
 _TARGET_FAILURES = {
     ReservationOutcome.ANSWER_LOST: 0.3,
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -3,6 +3,7 @@
 from heathertack.policy._fair_queue import FairQueue, QueuedItem
 from heathertack.policy._ledger import LedgerEntry, TargetLedger, projected_peak
 from heathertack.policy._lengths import LengthEstimator
+from heathertack.policy._loss_memory import LossMemory
 from heathertack.policy._prefix_index import BLOCK_TOKENS, PrefixIndex, digest_prefixes
 from heathertack.policy._rendezvous import choose_owner, group_targets
 from heathertack.policy._reserved_quantile import ReservedQuantile
@@ -16,6 +17,7 @@
     "FairQueue",
     "LedgerEntry",
     "LengthEstimator",
+    "LossMemory",
     "PrefixIndex",
     "QueuedItem",
     "ReservedQuantile",
--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -93,6 +93,10 @@
         """Generations that hold a reservation."""
         return tuple(self._entries)
 
+    def describe(self) -> str:
+        """Return what is reserved, for logs and operators."""
+        return f"{self.count} reserved, {self.cached}/{self.capacity} cached"
+
     def find(self, generation_id: str) -> LedgerEntry | None:
         """Return a reservation."""
         return self._entries.get(generation_id)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_caller_events.py
@@ -0,0 +1,98 @@
+"""Delivers the events of a stream to its caller, whichever targets made them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from aiohttp import web
+from prometheus_client import Histogram
+
+from heathertackd import _clock
+from heathertackd.forwarding._dialect import AnswerHead
+from heathertackd.forwarding._event_splitter import StreamEvent
+
+
+class CallerEvents:
+    """The response of a stream, and what was delivered of it.
+
+    Parameters
+    ----------
+    request : web.BaseRequest
+        Request of the caller.
+    last_event_id : str
+        Id of the last event that the caller has already, empty for none.
+    gap_histogram : Histogram
+        Times between two events, seconds.
+    """
+
+    def __init__(
+        self, request: web.BaseRequest, last_event_id: str, gap_histogram: Histogram
+    ) -> None:
+        self._request = request
+        self._gap_histogram = gap_histogram
+        self._response: web.StreamResponse | None = None
+        self._last_event_id = last_event_id
+        self._last_event_at = 0.0
+        self._count = 0
+        self._longest_gap = 0.0
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The response, ``None`` before the first event."""
+        return self._response
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the caller has, empty for none."""
+        return self._last_event_id
+
+    @property
+    def count(self) -> int:
+        """Number of events that were delivered."""
+        return self._count
+
+    @property
+    def longest_gap(self) -> float:
+        """Longest time between two events, seconds."""
+        return self._longest_gap
+
+    def select_new(self, events: Sequence[StreamEvent]) -> tuple[StreamEvent, ...]:
+        """Leave out events that the caller has already."""
+        if not self._last_event_id.isdigit():
+            return tuple(events)
+        last = int(self._last_event_id)
+        return tuple(
+            event
+            for event in events
+            if not event.event_id.isdigit() or int(event.event_id) > last
+        )
+
+    async def write(self, head: AnswerHead, events: Sequence[StreamEvent]) -> None:
+        """Deliver events; the headers are those of the first target.
+
+        Parameters
+        ----------
+        head : AnswerHead
+            Header of the answer that the events belong to.
+        events : sequence of StreamEvent
+            At least one event.
+        """
+        now = _clock.monotonic()
+        if self._response is None:
+            self._response = web.StreamResponse(
+                status=head.status, headers=head.headers
+            )
+            await self._response.prepare(self._request)
+        else:
+            gap = now - self._last_event_at
+            self._longest_gap = max(self._longest_gap, gap)
+            self._gap_histogram.observe(gap)
+        self._last_event_at = now
+        self._count += len(events)
+        self._last_event_id = events[-1].event_id or self._last_event_id
+        await self._response.write(b"".join(event.data for event in events))
+
+    def abort(self) -> None:
+        """Close the connection, so that the stream looks incomplete."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -26,6 +26,7 @@
 from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
 from heathertackd import _clock
 from heathertackd._refusals import not_run
+from heathertackd.forwarding._caller_events import CallerEvents
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import TargetSend
 from heathertackd.forwarding._event_splitter import EventSplitter, StreamEvent
@@ -107,12 +108,7 @@
         self._placed: TargetChosen | None = None
         self._has_place = False
         self._may_have_run = False
-        self._response: web.StreamResponse | None = None
         self._set_aside: web.Response | None = None
-        self._last_event_id = order.head.last_event_id
-        self._events = 0
-        self._last_event_at = 0.0
-        self._longest_gap = 0.0
         #: Under which admission knows the place at the target.
         self._place_key = order.key
         #: Tokens made before that place was given.
@@ -127,6 +123,11 @@
         )
         account = context.instance.metrics.account_label(order.account)
         self._labels = (account, order.service)
+        self._stream = CallerEvents(
+            request,
+            order.head.last_event_id,
+            context.instance.metrics.token_gap.labels(*self._labels),
+        )
 
     async def run(self) -> web.StreamResponse:
         """Serve the request and return the response that was sent."""
@@ -162,7 +163,7 @@
         """Begin to move if the stream would be lost with its target."""
         now = _clock.monotonic()
         placed = self._placed
-        if placed is None or self._mover is None or not self._events:
+        if placed is None or self._mover is None or not self._stream.count:
             return
         if not self._mover.may_begin(now):
             return
@@ -175,7 +176,7 @@
         self._mover.begin(placed, reservation)
 
     def _made(self) -> int:
-        return self._events * self._order.event_tokens
+        return self._stream.count * self._order.event_tokens
 
     def _is_nearly_done(self) -> bool:
         size = self._order.head.size
@@ -300,7 +301,7 @@
             backup_address=backup.address if backup is not None else "",
             copy_address=copy_address,
             copy_id=copy_id,
-            last_event_id=self._last_event_id,
+            last_event_id=self._stream.last_event_id,
         )
         return TargetRequest(
             record.address,
@@ -338,16 +339,15 @@
             self._excluded = (*self._excluded, placed.target)
             self._release(ReservationOutcome.FINISHED)
             return error
-        if self._response is not None:
+        if self._stream.response is not None:
             error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
             self._note_failure(placed, error)
             return error
         self._note_success(placed)
-        self._response = web.Response(
+        self._end("answered", ReservationOutcome.FINISHED, f"status {status}")
+        return web.Response(
             status=status, headers=answer.head.headers, body=result.unwrap()
         )
-        self._end("answered", ReservationOutcome.FINISHED, f"status {status}")
-        return self._response
 
     async def _deliver_stream(
         self, placed: TargetChosen, answer: TargetAnswer
@@ -356,58 +356,36 @@
         splitter = EventSplitter()
         try:
             async for chunk in answer.read_chunks():
-                events = self._select_new(splitter.feed(chunk))
+                events = self._stream.select_new(splitter.feed(chunk))
                 if events:
-                    await self._write_events(placed, answer, events)
+                    await self._deliver_events(answer, events)
         except (aiohttp.ClientPayloadError, ValueError) as error:
             return await self._take_break(placed, repr(error))
         except (aiohttp.ClientError, OSError) as error:
             if self._request.transport is None:
                 raise
             return await self._take_break(placed, repr(error))
-        if splitter.rest or self._response is None:
+        response = self._stream.response
+        if splitter.rest or response is None:
             return await self._take_break(placed, "the stream ended within an event")
-        await self._response.write_eof()
+        await response.write_eof()
         self._note_success(placed)
         self._note_gap()
-        self._end("streamed", ReservationOutcome.FINISHED, f"{self._events} events")
-        return self._response
-
-    def _select_new(self, events: tuple[StreamEvent, ...]) -> tuple[StreamEvent, ...]:
-        """Leave out events that an earlier target delivered."""
-        if not self._last_event_id.isdigit():
-            return events
-        last = int(self._last_event_id)
-        return tuple(
-            event
-            for event in events
-            if not event.event_id.isdigit() or int(event.event_id) > last
-        )
+        delivered = f"{self._stream.count} events"
+        self._end("streamed", ReservationOutcome.FINISHED, delivered)
+        return response
 
-    async def _write_events(
-        self,
-        placed: TargetChosen,
-        answer: TargetAnswer,
-        events: tuple[StreamEvent, ...],
+    async def _deliver_events(
+        self, answer: TargetAnswer, events: tuple[StreamEvent, ...]
     ) -> None:
+        is_first = self._stream.response is None
+        await self._stream.write(answer.head, events)
         now = _clock.monotonic()
-        if self._response is None:
-            self._response = web.StreamResponse(
-                status=answer.head.status, headers=answer.head.headers
-            )
-            await self._response.prepare(self._request)
+        if is_first:
             waited = now - self._order.received_at
             self._instance.metrics.first_token.labels(*self._labels).observe(waited)
             self._context.keeper.add(self)
-        else:
-            gap = now - self._last_event_at
-            self._longest_gap = max(self._longest_gap, gap)
-            self._instance.metrics.token_gap.labels(*self._labels).observe(gap)
-        self._last_event_at = now
-        self._events += len(events)
-        self._last_event_id = events[-1].event_id or self._last_event_id
         self._report_made(now)
-        await self._response.write(b"".join(event.data for event in events))
 
     def _report_made(self, now: float) -> None:
         made = TokensMade(self._place_key, self._made() - self._made_before)
@@ -422,7 +400,7 @@
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
         backup = self._placed.backup if self._placed is not None else ""
         self._note_failure(placed, error)
-        if self._events or backup:
+        if self._stream.count or backup:
             return Continuation(backup)
         return error
 
@@ -448,7 +426,7 @@
             "stream_continued",
             lost=broken.target,
             at=continuation.target,
-            last_event_id=self._last_event_id,
+            last_event_id=self._stream.last_event_id,
         )
 
     def _may_repeat(self) -> bool:
@@ -458,7 +436,7 @@
         return order.may_run_again and has_attempts and self._has_time()
 
     def _may_try_again(self, error: ExchangeError) -> bool:
-        if self._response is not None or not self._has_time():
+        if self._stream.response is not None or not self._has_time():
             return False
         if error.failure is ExchangeFailure.NOT_SENT:
             self._sends -= 1
@@ -474,7 +452,7 @@
         return self._order.deadline - _clock.monotonic() > _LEAST_SEND_SECONDS
 
     def _deny(self, decision: PlacementDenied) -> web.StreamResponse:
-        if self._response is not None:
+        if self._stream.response is not None:
             return self._break_off(decision.reason)
         if self._may_have_run:
             return self._answer_unknown(decision.reason)
@@ -482,7 +460,7 @@
         return self._refuse(refusal)
 
     def _fail(self, error: ExchangeError) -> web.StreamResponse:
-        if self._response is not None:
+        if self._stream.response is not None:
             return self._break_off(error.detail)
         if self._may_have_run:
             return self._answer_unknown(error.detail)
@@ -508,16 +486,15 @@
 
     def _break_off(self, detail: str) -> web.StreamResponse:
         """Close the caller's connection, so that the answer looks incomplete."""
-        if self._response is None:
+        if self._stream.response is None:
             return self._answer_unknown(detail)
         self._end("broken_off", ReservationOutcome.CANCELLED, detail)
-        if self._request.transport is not None:
-            self._request.transport.abort()
-        return self._response
+        self._stream.abort()
+        return self._stream.response
 
     def _end_late(self) -> web.StreamResponse:
         """Answer a request whose time is over."""
-        if self._response is not None:
+        if self._stream.response is not None:
             return self._break_off("the time of the request is over")
         if self._sends or self._may_have_run:
             message = "the target did not answer in time"
@@ -532,7 +509,7 @@
             target=placed.target,
             failure=error.failure.value,
             detail=error.detail,
-            events=self._events,
+            events=self._stream.count,
         )
         self._excluded = (*self._excluded, placed.target)
         record = self._instance.board.read(TARGETS).get(placed.target)
@@ -564,7 +541,9 @@
         self._instance.health.handle(TargetSucceeded(placed.target), now)
 
     def _note_gap(self) -> None:
-        self._instance.metrics.stall.labels(*self._labels).observe(self._longest_gap)
+        self._instance.metrics.stall.labels(*self._labels).observe(
+            self._stream.longest_gap
+        )
 
     def _release(self, outcome: ReservationOutcome) -> None:
         """Free the place at the target, once."""
@@ -589,7 +568,7 @@
             detail=detail,
             target=placed.target if placed is not None else "",
             seconds=round(_clock.monotonic() - self._order.received_at, 3),
-            longest_gap=round(self._longest_gap, 3),
+            longest_gap=round(self._stream.longest_gap, 3),
         )
 
     def _log(self, event: str, **fields: object) -> None:
