--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -101,6 +101,8 @@
         self._request = request
         self._attempt = 0
         self._sends = 0
+        #: Targets that took no connection.
+        self._unreached = 0
         #: Targets that broke off though they were not leaving.
         self._breaks = 0
         self._excluded: tuple[str, ...] = ()
@@ -440,7 +442,8 @@
             return False
         if error.failure is ExchangeFailure.NOT_SENT:
             self._sends -= 1
-            return self._attempt <= _MOST_CONNECTS
+            self._unreached += 1
+            return self._unreached < _MOST_CONNECTS
         if error.failure is ExchangeFailure.MAY_HAVE_RUN:
             self._may_have_run = True
             if not self._order.may_run_again:
