--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -334,6 +334,7 @@
         status = answer.head.status
         if status >= _SERVER_ERROR and self._may_repeat():
             error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, f"status {status}")
+            self._may_have_run = True
             self._set_aside = web.Response(
                 status=status, headers=answer.head.headers, body=result.unwrap()
             )
@@ -444,10 +445,9 @@
             self._sends -= 1
             self._unreached += 1
             return self._unreached < _MOST_CONNECTS
-        if error.failure is ExchangeFailure.MAY_HAVE_RUN:
-            self._may_have_run = True
-            if not self._order.may_run_again:
-                return False
+        may_have_run = error.failure is ExchangeFailure.MAY_HAVE_RUN
+        if may_have_run and not self._order.may_run_again:
+            return False
         has_attempts = self._sends < self._order.route["max_attempts"]
         return has_attempts and self._retries.try_spend(self._order.service)
 
@@ -519,6 +519,7 @@
         is_live = record is not None and record.state is TargetState.LIVE
         outcome = _OUTCOMES[error.failure]
         may_have_run = error.failure is ExchangeFailure.MAY_HAVE_RUN
+        self._may_have_run |= may_have_run
         if may_have_run and is_live and record is not None:
             self._breaks += 1
             blaming = asyncio.create_task(self._blame(record))
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
@@ -331,6 +331,20 @@
             assert second.target != first.target
             assert second.last_event_id == "2"
 
+    async def test_lost_stream_without_events_is_not_called_not_run(self) -> None:
+        async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+            if system.total_received() > 1:
+                await not_run(received, writer)
+            else:
+                await stream(breaks=True)(received, writer)
+
+        async with (
+            run_system(route("streaming"), script, script, backups=True) as system,
+            system.request() as got,
+        ):
+            assert got.status == 502
+            assert "Retry-After" not in got.headers
+
     async def test_stream_whose_copy_is_missing_is_broken_off(self) -> None:
         async def script(received: Received, writer: asyncio.StreamWriter) -> None:
             if "Last-Event-Id" in received.headers:
