Serve the bundle's routes on the standard surface, and apply its limits to callers

Only the platform's surface forwarded routes, so the product alone could not use them. The header limit and the header and idle time-outs of a bundle were read and not applied (64 KB, 30 s fixed): a deployment with an idle time over 40 s would have had its kept connections closed too early. Rules of leaving and readiness stood in platform/, where nothing may decide.

Change: StandardSurface forwards what the product has no path for. DrainController decides how long callers are accepted and when to stop, is_ready is one rule for both surfaces; the platform only states its bounds (leaving_accepts, leaving_grace).

Found on the way, red first: a target whose slots the list does not tell was refused as "no target is live", as it belongs to no admission group. It is now chosen without an owner.

--- a/packages/heathertack-fakes/src/heathertack_fakes/_plain_server.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_plain_server.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+_REQUEST_ID = "X-Request-Id"
+
 
 class PlainServer:
     """Books seats and counts executions by idempotency key."""
@@ -18,6 +20,7 @@
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(_repeat_request_id)
         app.router.add_post("/bookings", self._book)
         app.router.add_get("/schedule", self._give_schedule)
         app.router.add_get("/executions", self._give_executions)
@@ -43,3 +46,10 @@
         document = await request.json()
         self._delay = float(document["seconds"])
         return web.json_response({"done": True})
+
+
+async def _repeat_request_id(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    if _REQUEST_ID in request.headers:
+        response.headers[_REQUEST_ID] = request.headers[_REQUEST_ID]
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -150,6 +150,7 @@
     TargetChosen,
     TokensMade,
 )
+from heathertack.controllers._readiness import is_ready
 from heathertack.controllers._target_health import (
     StreamGapsSeen,
     TargetFailed,
@@ -283,5 +284,6 @@
     "divide_targets",
     "find_usable_targets",
     "instance_of",
+    "is_ready",
     "stall_bound",
 ]
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -209,7 +209,7 @@
             if name.rpartition(":")[0] == request.service
         ]
         if not groups:
-            return (_deny(request, "no_target", 1.0, "no target is live"),)
+            return self._choose_locally(request._replace(group=""), now)
         self._turn += 1
         request = request._replace(group=groups[self._turn % len(groups)])
         owner = self._find_owner(request.group, now)
@@ -223,7 +223,12 @@
         return (SendToPeer(owner, request),)
 
     def _find_owner(self, group: str, now: float) -> str | None:
-        """Return the owner of a group; the next one if that one is silent."""
+        """Return the owner of a group; the next one if that one is silent.
+
+        Targets whose slots are not known are in no group and have no owner.
+        """
+        if not group:
+            return None
         members = self._board.read(MEMBERS).values()
         alive = [m.instance for m in members if m.state is MemberState.ALIVE]
         silent = self._silent_until
@@ -247,7 +252,7 @@
         self._placements[request.generation_id] = _Placement(
             request, now + request.patience, "", now, now, float("inf"), target
         )
-        return (_choose(request, target, "the admission owner did not answer"),)
+        return (_choose(request, target, "no admission owner to ask"),)
 
     def _take_reply(self, event: OwnerReplied, now: float) -> tuple[Action, ...]:
         reply = event.reply
--- a/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
@@ -87,6 +87,16 @@
         assert isinstance(denied, PlacementDenied)
         assert denied.code == "no_target"
 
+    def test_target_without_known_slots_is_chosen_without_an_owner(self) -> None:
+        entry = Entry(engines=0)
+        plain = TargetRecord("p", "tutor", "x", "d", TargetState.LIVE, 0)
+        entry.board.write(entry, TARGETS, {"p": plain})
+        (chosen,) = entry.handle(PlacementWanted(request("g")))
+        assert isinstance(chosen, TargetChosen)
+        assert chosen.target == "p"
+        assert entry.handle(PlacementDue(), 5.0) == ()
+        assert entry.handle(PlacementEnded("g", ReservationOutcome.FINISHED), 6.0) == ()
+
     def test_asks_the_next_owner_when_one_is_silent(self) -> None:
         entry = Entry()
         silent = entry.ask()
--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -71,6 +71,9 @@
     disconnected_service: NotRequired[float]
     #: From the signal to leave until the process is killed.
     leaving_grace: NotRequired[float]
+    #: How long callers still use the address of an instance that leaves; by default
+    #: the life of an answer about addresses and of a lease.
+    leaving_accepts: NotRequired[float]
 
 
 class Settings(TypedDict):
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -1,6 +1,8 @@
 """The heathertack daemon."""
 
+from heathertackd._caller_limits import choose_connection_bounds
 from heathertackd._clock import monotonic
+from heathertackd._connection_guard import ConnectionBounds, ConnectionGuard
 from heathertackd._daemon import Daemon, StartError
 from heathertackd._disk import FolderDisk
 from heathertackd._instance import Instance
@@ -12,6 +14,8 @@
 
 __all__ = [
     "BuildSurface",
+    "ConnectionBounds",
+    "ConnectionGuard",
     "Daemon",
     "FolderDisk",
     "Instance",
@@ -23,6 +27,7 @@
     "StartError",
     "Surface",
     "TargetLister",
+    "choose_connection_bounds",
     "close_logs",
     "configure_logs",
     "monotonic",
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -280,10 +280,14 @@
         await self._leaving.wait()
         instance.drain.handle(LeavingStarted(), _clock.monotonic())
         instance.announce_leaving()
-        surface.leave()
         self._logger.info("leaving")
+        accepts = True
         while not self._stop_now.is_set():
-            if surface.may_stop(_clock.monotonic()):
+            now = _clock.monotonic()
+            if accepts and not instance.drain.accepts(now):
+                accepts = False
+                surface.stop_accepting()
+            if instance.drain.may_stop(now) and not surface.has_unrecorded_work():
                 return
             await asyncio.sleep(_DRAIN_STEP_SECONDS)
 
--- a/packages/heathertackd/src/heathertackd/_front.py
+++ b/packages/heathertackd/src/heathertackd/_front.py
@@ -20,6 +20,7 @@
     RequestClosed,
     RequestOpened,
     choose_addresses,
+    is_ready,
 )
 from heathertack.messages import ReservationRequest
 from heathertack.policy import digest_prefixes
@@ -146,10 +147,8 @@
 
     async def _give_readiness(self, request: web.Request) -> web.Response:
         del request
-        board = self._instance.board
-        is_ready = board.read(LEASE).is_valid(_clock.monotonic())
-        status = 200 if is_ready and board.read(BUNDLE).bundle else 503
-        return _json_response({"ready": status == 200}, status)
+        ready = is_ready(self._instance.board, _clock.monotonic())
+        return _json_response({"ready": ready}, 200 if ready else 503)
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         received_at = _clock.monotonic()
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -98,6 +98,8 @@
 from heathertackd._retry_allowance import RetryAllowance
 
 _CONTROL_TICK_SECONDS = 0.05
+#: Kept free before the process would be killed, for a clean end of its answers.
+_STOP_MARGIN_SECONDS = 0.4
 _ENTRY_TICK_SECONDS = 0.1
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
 
@@ -169,9 +171,7 @@
             board, self._identity(), self.control_instances, self.lease_timings
         )
         self._set_seeds()
-        self.drain = DrainController(
-            board, self.address_ttl + self.lease_timings.duration
-        )
+        self.drain = self._build_drain()
         self.health = TargetHealthController(board)
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board)
@@ -291,6 +291,15 @@
         if self.grantor is not None and "membership" in self.settings:
             self.grantor.set_seeds(tuple(self.settings["membership"]["seeds"]))
 
+    def _build_drain(self) -> DrainController:
+        timings = self.settings.get("timings", {})
+        by_default = self.address_ttl + self.lease_timings.duration
+        accepts = timings.get("leaving_accepts", by_default)
+        grace = timings.get("leaving_grace")
+        if grace is not None:
+            grace -= _STOP_MARGIN_SECONDS
+        return DrainController(self.board, accepts, grace)
+
     def _identity(self) -> InstanceIdentity:
         http = self.settings["http"]
         return InstanceIdentity(
--- a/packages/heathertackd/src/heathertackd/_refusals.py
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -26,6 +26,7 @@
     "missing_key": 401,
     "wrong_key": 401,
     "body_too_large": 413,
+    "header_too_large": 431,
     "request_timeout": 408,
     "account_limit": 429,
     "queue_full": 429,
--- a/packages/heathertackd/src/heathertackd/_standard_surface.py
+++ b/packages/heathertackd/src/heathertackd/_standard_surface.py
@@ -8,8 +8,10 @@
 import aiohttp
 from aiohttp import web
 
+from heathertack.blackboard import BUNDLE
 from heathertack.settings import resolve_limits
 from heathertackd._call_session import CallRunner, PlainClient
+from heathertackd._caller_limits import choose_connection_bounds
 from heathertackd._connection_guard import ConnectionGuard
 from heathertackd._engine_client import EngineClient
 from heathertackd._front import Front
@@ -17,10 +19,15 @@
 from heathertackd._operator_api import OperatorApi
 from heathertackd._order_runner import OrderRunner
 from heathertackd._watchers import LoadWatcher, PlatformWatcher, StandardTargetLister
+from heathertackd.forwarding import (
+    Forwarder,
+    StandardDialect,
+    open_forwarding_session,
+)
 
 
 class StandardSurface:
-    """Completions, calls and the operator's interface on one listener.
+    """Completions, calls, forwarded routes and operators on one listener.
 
     Parameters
     ----------
@@ -35,15 +42,19 @@
         self._session = session
         self._engines = EngineClient(session)
         self._calls = CallRunner(instance, PlainClient(session))
+        self._targets = open_forwarding_session()
+        self._forwarder = Forwarder(instance, self._targets, StandardDialect())
         limits = resolve_limits(instance.settings)
         self._guard = ConnectionGuard(
-            limits.max_connections, limits.request_read_timeout
+            lambda: choose_connection_bounds(instance.board.read(BUNDLE).bundle, limits)
         )
         app = web.Application(
             client_max_size=limits.max_body_bytes, middlewares=[self._guard.middleware]
         )
         Front(instance, self._engines, self._calls).add_routes(app)
         OperatorApi(instance).add_routes(app)
+        # Last: whatever the product has no path for may be a route of the bundle.
+        app.router.add_route("*", "/{path:.*}", self._forwarder.handle)
         self._runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -68,6 +79,7 @@
                 ),
             ).run(),
             LoadWatcher(self._instance, self._engines).run(),
+            self._forwarder.keep_streams(),
         ]
         if self._instance.control_log is not None:
             work.append(OrderRunner(self._instance, self._engines).run())
@@ -75,13 +87,14 @@
             work.append(self._guard.run(self._runner.server))
         return tuple(work)
 
-    def leave(self) -> None:
-        """Begin to leave; callers learn it with the next answer about addresses."""
+    def stop_accepting(self) -> None:
+        """Keep the listener: operators use the same one."""
 
-    def may_stop(self, now: float) -> bool:
-        """Tell whether no request is open and no caller may come any more."""
-        return self._instance.drain.may_stop(now) and not self._calls.pending_records
+    def has_unrecorded_work(self) -> bool:
+        """Tell whether outcomes of calls are still being recorded."""
+        return bool(self._calls.pending_records)
 
     async def stop(self) -> None:
         """Close the listener."""
         await self._runner.cleanup()
+        await self._targets.close()
--- a/packages/heathertackd/src/heathertackd/_surface.py
+++ b/packages/heathertackd/src/heathertackd/_surface.py
@@ -27,12 +27,12 @@
         """Return what runs until the daemon stops."""
         ...
 
-    def leave(self) -> None:
-        """Begin to leave: callers are to go elsewhere."""
+    def stop_accepting(self) -> None:
+        """Take no more callers; called once."""
         ...
 
-    def may_stop(self, now: float) -> bool:
-        """Tell whether nobody can be harmed by stopping."""
+    def has_unrecorded_work(self) -> bool:
+        """Tell whether outcomes of requests are still being recorded."""
         ...
 
     async def stop(self) -> None:
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -14,7 +14,9 @@
 from heathertack.bundle import Bundle, ForwardingRoute
 from heathertack.controllers import Refusal, RequestClosed, RequestOpened
 from heathertack.routing import choose_service
+from heathertack.settings import resolve_limits
 from heathertackd import _clock
+from heathertackd._caller_limits import choose_caller_limits
 from heathertackd._instance import Instance
 from heathertackd._refusals import RefusedError, not_run
 from heathertackd._sockets import open_target_socket
@@ -34,8 +36,10 @@
 #: Wait of a request for the first bundle of a process: an election and a lease.
 _STARTING_SECONDS = 1.0
 _STARTING_STEP_SECONDS = 0.05
-_DEFAULT_BODY_BYTES = 4 * 1024 * 1024
-_DEFAULT_BODY_SECONDS = 20.0
+#: Two spaces, the version and the end of the first line.
+_LINE_EXTRA_BYTES = 12
+#: Colon, space and the end of a line.
+_FIELD_EXTRA_BYTES = 4
 
 
 def open_forwarding_session() -> aiohttp.ClientSession:
@@ -72,6 +76,7 @@
     ) -> None:
         self._instance = instance
         self._dialect = dialect
+        self._limits = resolve_limits(instance.settings)
         self._context = ForwardingContext(
             instance,
             TargetClient(session, dialect),
@@ -135,13 +140,15 @@
             raise RefusedError(
                 not_run("unconfirmed", message, _UNCONFIRMED_RETRY_SECONDS)
             )
+        limits = choose_caller_limits(bundle, self._limits)
+        _check_header(request, limits.max_header_bytes)
         path = request.raw_path
         match = view.routes.find(request.headers.get("Host", ""), path)
         if match is None:
             raise RefusedError(not_run("unknown_service", f"no route leads to {path}"))
         head = self._read_head(request)
         account = self._identify(view, bundle, match.route, head)
-        body = await self._read_body(request, bundle)
+        body = await read_body(request, limits.max_body_bytes, limits.idle_timeout)
         service = choose_service(match.route, head.request_id)
         engine = bundle["services"][service].get("engine")
         return ForwardOrder(
@@ -201,10 +208,13 @@
             raise RefusedError(not_run(code, message))
         return account
 
-    async def _read_body(self, request: web.BaseRequest, bundle: Bundle) -> bytes:
-        limits = bundle.get("limits")
-        if limits is None:
-            return await read_body(request, _DEFAULT_BODY_BYTES, _DEFAULT_BODY_SECONDS)
-        return await read_body(
-            request, limits["max_body_bytes"], limits["idle_timeout"]
-        )
+
+def _check_header(request: web.BaseRequest, most: int) -> None:
+    line = len(request.method) + len(request.raw_path) + _LINE_EXTRA_BYTES
+    fields = sum(
+        len(name) + len(value) + _FIELD_EXTRA_BYTES
+        for name, value in request.raw_headers
+    )
+    if line + fields > most:
+        message = f"the header has {line + fields} bytes, {most} are allowed"
+        raise RefusedError(not_run("header_too_large", message))
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_forwarding.py
@@ -243,6 +243,16 @@
             ({"headers": {"X-Request-Id": ""}}, 400),
             ({"headers": {"X-Request-Timeout": "soon"}}, 400),
             ({"data": b"x" * 1001}, 413),
+            (
+                {
+                    "headers": {
+                        "X-One": "x" * 8000,
+                        "X-Two": "x" * 8000,
+                        "X-Three": "x" * 900,
+                    }
+                },
+                431,
+            ),
         ],
     )
     async def test_improper_request_reaches_no_target(
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -62,6 +62,18 @@
     raise AssertionError("no engine got the generation")
 
 
+async def wait_for_status(
+    session: aiohttp.ClientSession, url: str, headers: dict[str, str], status: int
+) -> None:
+    """Ask until an answer has a status."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while True:
+            async with session.get(url, headers=headers) as got:
+                if got.status == status:
+                    return
+            await asyncio.sleep(0.1)
+
+
 def find_leader(system: LocalSystem) -> str:
     for _ in range(200):
         status = system.operate("status", "--json")
@@ -378,6 +390,51 @@
         assert len(indexes) == 1
 
 
+class TestForwardedRoutes:
+    def test_paths_of_the_bundle_are_served_beside_the_own_ones(
+        self, start_system: Start
+    ) -> None:
+        system = start_system(SystemShape(daemons=2))
+        bundle = build_bundle(2, web={"kind": "forwarding"})
+        bundle["routes"] = {
+            "schedule": {
+                "host": HOST,
+                "path_prefix": "/",
+                "kind": "idempotent",
+                "services": {"web": 1},
+                "timeout": 5.0,
+                "priority": 0,
+                "max_attempts": 2,
+            }
+        }
+
+        async def scenario() -> None:
+            async with aiohttp.ClientSession() as session:
+                listed = [
+                    {**target, "name": "web-1", "service": "web"}
+                    for target in system.list_targets()
+                    if target["service"] == "studio-portal"
+                ]
+                instances = {"instances": system.list_targets() + listed}
+                await send(session, system.platform_port, "/instances", instances)
+                applied = system.apply_bundle(bundle)
+                assert applied.returncode == 0, applied.stderr
+                url = f"http://{entry(system, 1)}/schedule"
+                headers = {"X-Request-Id": "r1"}
+                await wait_for_status(session, url, headers, 401)
+                headers["Authorization"] = f"Bearer {CALLER_KEY}"
+                await wait_for_status(session, url, headers, 200)
+                async with session.get(url, headers=headers) as got:
+                    assert await got.json() == {"seats": 12}
+                    assert got.headers["X-Request-Id"] == "r1"
+                answer = await stream_chat(
+                    session, entry(system, 1), CALLER_KEY, "[[length=5]]"
+                )
+                assert answer.is_whole
+
+        asyncio.run(scenario())
+
+
 class TestLeaving:
     def test_shutdown_cuts_off_nothing(self, start_system: Start) -> None:
         system = start_system(SystemShape(engine_step=0.03))
