Share the reading of engines' reports among all instances

Cause: with one admission owner for a service, that owner alone would read 49 reports each 0.4 s, 120 HTTP calls a second on a machine of half a core.

Change: each engine is watched by one instance of its own failure domain (WatchPlan, by rendezvous hashing), or by any if none is near. Tests: each engine once and from near, no instance many, only the engines of a lost instance move.

--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -159,6 +159,7 @@
     find_usable_targets,
     stall_bound,
 )
+from heathertack.controllers._watch_plan import WatchPlan
 
 __all__ = [
     "LEASE_TIMINGS",
@@ -278,6 +279,7 @@
     "TimePassed",
     "TokensArrived",
     "TokensMade",
+    "WatchPlan",
     "WeightsReported",
     "choose_addresses",
     "derive_lease_timings",
--- a/packages/heathertackd/src/heathertackd/_leaving_watcher.py
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -7,7 +7,8 @@
 
 from returns.result import Failure, Result
 
-from heathertack.blackboard import LEASE, TARGETS
+from heathertack.blackboard import LEASE
+from heathertack.controllers import WatchPlan
 from heathertack.messages import TargetRecord, TargetReport, TargetState
 from heathertackd._instance import Instance
 
@@ -21,7 +22,7 @@
 
 
 class LeavingWatcher:
-    """Asks the engines of the groups that this instance admits to.
+    """Asks the engines that this instance watches; all instances share them.
 
     Parameters
     ----------
@@ -39,17 +40,12 @@
         self._instance = instance
         self._reporter = reporter
         self._interval = interval
+        self._plan = WatchPlan(instance.board, instance.name)
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            targets = self._instance.board.read(TARGETS)
-            watched = (
-                targets[name]
-                for name in self._instance.admission.watched_targets
-                if name in targets
-            )
-            engines = [t for t in watched if t.cache_tokens and _is_live(t)]
+            engines = [t for t in self._plan.list_watched() if _is_live(t)]
             await asyncio.gather(*(self._ask(engine) for engine in engines))
             await asyncio.sleep(self._interval)
 
