Hold load reports against the most that was reserved lately

A cache filled by others alone also counted as empty.

Change: a report is compared with the most reserved within three reports; a ledger with unexplained memory is not empty.

--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
+#: Reports come each half second, and tell what was up to a second ago.
+_LAGGING_REPORTS = 3
+
 
 class LedgerEntry(NamedTuple):
     """One generation that holds or will hold cache memory."""
@@ -61,6 +65,9 @@
         self._own_tokens = 0
         self._waiting_tokens = 0
         self._foreign_tokens = 0
+        #: Most tokens reserved since the latest report, and before the ones before.
+        self._peak = 0
+        self._peaks: deque[int] = deque(maxlen=_LAGGING_REPORTS)
 
     @property
     def count(self) -> int:
@@ -69,8 +76,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether nothing is reserved."""
-        return not self._entries
+        """Whether nothing is reserved, and nothing else in the cache is known."""
+        return not self._entries and not self._foreign_tokens
 
     @property
     def cached(self) -> int:
@@ -116,6 +123,7 @@
         self.release(generation_id)
         self._entries[generation_id] = entry
         self._own_tokens += entry.cached
+        self._peak = max(self._peak, self._own_tokens)
         if not started:
             self._waiting_prompts[generation_id] = entry.cached
             self._waiting_tokens += entry.cached
@@ -131,6 +139,9 @@
     def note_reported_use(self, reported_tokens: int, slack: int) -> None:
         """Account for cache use that no reservation explains.
 
+        A report is some hundred milliseconds old and counts generations that have
+        ended since, so it is held against the most that was reserved lately.
+
         Parameters
         ----------
         reported_tokens : int
@@ -138,7 +149,10 @@
         slack : int
             Difference that the lag of reports explains, tokens.
         """
-        self._foreign_tokens = max(0, reported_tokens - self._own_tokens - slack)
+        self._peaks.append(self._peak)
+        self._peak = self._own_tokens
+        explained = max(self._peaks) + slack
+        self._foreign_tokens = max(0, reported_tokens - explained)
 
     def peak_with(self, candidate: LedgerEntry) -> int:
         """Return the projected peak if a generation is added."""
--- a/packages/heathertack/src/heathertack/policy/tests/test_policy.py
+++ b/packages/heathertack/src/heathertack/policy/tests/test_policy.py
@@ -8,6 +8,7 @@
     PrefixIndex,
     QueuedItem,
     RetryBudget,
+    TargetLedger,
     choose_owner,
     digest_prefixes,
     group_targets,
@@ -142,3 +143,30 @@
         budget.note_success()
         budget.note_success()
         assert [budget.try_spend() for _ in range(2)] == [True, False]
+
+
+class TestReportedUse:
+    """Load pattern: generations end faster than reports tell of it."""
+
+    def test_generations_that_ended_since_the_report_are_not_foreign(self) -> None:
+        ledger = TargetLedger(10_000)
+        for number in range(3):
+            ledger.reserve(f"g{number}", LedgerEntry(3000, 10), started=True)
+        for number in range(3):
+            ledger.release(f"g{number}")
+        ledger.note_reported_use(9000, 0)
+        assert ledger.cached == 0
+
+    def test_what_no_reservation_ever_explained_is_foreign(self) -> None:
+        ledger = TargetLedger(10_000)
+        ledger.reserve("g", LedgerEntry(3000, 10), started=True)
+        ledger.note_reported_use(9000, 0)
+        assert ledger.cached == 9000
+
+    def test_reservations_of_long_ago_explain_nothing(self) -> None:
+        ledger = TargetLedger(10_000)
+        ledger.reserve("g", LedgerEntry(3000, 10), started=True)
+        ledger.release("g")
+        for _ in range(4):
+            ledger.note_reported_use(3000, 0)
+        assert ledger.cached == 3000
