Ask another engine at once when the destination of a move has no room

Change: a move that finds no room releases its place as rejected, so that the owner passes that engine over for a second, and asks again after 0.05 s. The log names the destination.

--- a/packages/heathertackd/src/heathertackd/forwarding/__init__.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/__init__.py
@@ -13,7 +13,7 @@
 )
 from heathertackd.forwarding._forwarder import Forwarder, open_forwarding_session
 from heathertackd.forwarding._hop_headers import copy_end_to_end
-from heathertackd.forwarding._memory import MemoryMover
+from heathertackd.forwarding._memory import MemoryMover, MoveFailure
 from heathertackd.forwarding._standard_dialect import StandardDialect
 
 __all__ = [
@@ -23,6 +23,7 @@
     "GenerationSize",
     "Headers",
     "MemoryMover",
+    "MoveFailure",
     "PromptPart",
     "RefusedError",
     "RequestHead",
--- a/packages/heathertackd/src/heathertackd/forwarding/_memory.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_memory.py
@@ -11,12 +11,20 @@
 from heathertack.messages import TargetState
 
 
+class MoveFailure(NamedTuple):
+    """Why memory was not moved."""
+
+    detail: str
+    #: Whether the destination refused it; another one may have room.
+    has_no_room: bool = False
+
+
 class MemoryMover(Protocol):
     """Calls to engines that copy the memory of generations."""
 
     async def copy(
         self, source: str, request_id: str, destination: str
-    ) -> Result[None, str]:
+    ) -> Result[None, MoveFailure]:
         """Copy what a run holds, while it goes on.
 
         Parameters
@@ -30,7 +38,7 @@
 
     async def hand_over(
         self, source: str, request_id: str, destination: str
-    ) -> Result[str, str]:
+    ) -> Result[str, MoveFailure]:
         """Stop a run, copy the rest and return the id of the copy."""
         ...
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -22,10 +22,12 @@
 )
 from heathertackd import _clock
 from heathertackd._instance import Instance
-from heathertackd.forwarding._memory import Continuation, MemoryMover
+from heathertackd.forwarding._memory import Continuation, MemoryMover, MoveFailure
 
-#: Wait before a move is tried again that found no room or failed, seconds.
+#: Wait before a move is tried again that failed, seconds.
 _RETRY_SECONDS = 0.5
+#: The same after the destination had no room: another one is asked then.
+_NO_ROOM_RETRY_SECONDS = 0.05
 #: Longest wait for a place: moves from one engine go one after the other, and it is
 #: gone one to two seconds after its notice.
 _PATIENCE_SECONDS = 1.5
@@ -58,6 +60,8 @@
         self._task: asyncio.Task[Continuation | None] | None = None
         self._background: set[asyncio.Task[None]] = set()
         self._not_before = 0.0
+        #: What admission is told of a place that was not used.
+        self._outcome = ReservationOutcome.CANCELLED
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
 
     @property
@@ -112,6 +116,7 @@
         key = reservation.generation_id
         self._instance.listen(key, self)
         handed_over: Continuation | None = None
+        self._outcome = ReservationOutcome.CANCELLED
         try:
             decision = await self._place(reservation)
             if isinstance(decision, PlacementDenied):
@@ -149,17 +154,27 @@
             origin.address, self._request_id, destination.address
         )
         if isinstance(copied, Failure):
-            self._log("stream_not_moved", source=source, detail=copied.failure())
+            self._note_failure(placed, source, copied.failure())
             return None
         handed = await self._mover.hand_over(
             origin.address, self._request_id, destination.address
         )
         if isinstance(handed, Failure):
-            self._log("stream_not_moved", source=source, detail=handed.failure())
+            self._note_failure(placed, source, handed.failure())
             return None
         self._log("stream_moved", source=source, to=placed.target)
         return Continuation(placed.target, origin.address, handed.unwrap(), placed)
 
+    def _note_failure(
+        self, placed: TargetChosen, source: str, failure: MoveFailure
+    ) -> None:
+        if failure.has_no_room:
+            self._outcome = ReservationOutcome.REJECTED
+            self._not_before = _clock.monotonic() + _NO_ROOM_RETRY_SECONDS
+        self._log(
+            "stream_not_moved", source=source, to=placed.target, detail=failure.detail
+        )
+
     def _is_leaving(self, target: str) -> bool:
         record = self._instance.board.read(TARGETS).get(target)
         return record is None or record.state is not TargetState.LIVE
@@ -173,6 +188,6 @@
             self._log("copy_not_freed", target=keeper.name, detail=freed.failure())
 
     def _release(self, key: str) -> None:
-        ended = PlacementEnded(key, ReservationOutcome.CANCELLED)
+        ended = PlacementEnded(key, self._outcome)
         now = _clock.monotonic()
         self._instance.carry_out(self._instance.placement.handle(ended, now))
