--- a/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leases.py
@@ -450,6 +450,17 @@
         assert holder.board.read(TARGETS)["e1"].state is not TargetState.LIVE
         assert holder.board.read(LEASE).valid_until == LEASE_TIMINGS.duration
 
+    def test_process_whose_clock_stepped_back_gets_a_lease_soon(self) -> None:
+        """Its incarnation, a time of day, is lower than that of its predecessor."""
+        leader = Leader("p")
+        leader.lead(1, until=100.0)
+        leader.grantor.handle(self.request(5, at=0.0), 0.0)
+        assert leader.grantor.handle(self.request(3, at=0.5), 0.5) == ()
+        after = LEASE_TIMINGS.member_timeout + 0.1
+        leader.grantor.handle(TimePassed(0.0), after)
+        granted = leader.grantor.handle(self.request(3, at=after), after)
+        assert any(isinstance(action, SendToPeer) for action in granted)
+
     def test_suspects_are_sent_when_they_change(self) -> None:
         leader = Leader("p")
         holder = Holder("e1", 1, ("p",))
