--- a/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
@@ -42,6 +42,7 @@
         self.works.set()
 
     def sync(self, name: str) -> None:
+        # Blocks the log's own thread, as a slow disk does; the loop must not notice.
         time.sleep(self.sync_seconds)
         self.works.wait()
         if self.error:
