Log prompt parts of sent and lost requests

Needed to tell the hypotheses of the crashing prompt part apart: request_sent and target_lost name the fingerprints of the shared prompt parts, target_lost also that of the request and its number of events. The digest of a request is computed once per request instead of once per reservation.

--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_fingerprints.py
@@ -0,0 +1,35 @@
+"""Fingerprints by which target losses are attributed to requests."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+
+from heathertackd.forwarding._dialect import PromptPart
+
+_FINGERPRINT_LENGTH = 32
+#: Parts beyond this number are not attributed losses, which bounds the work for one
+#: request.
+_MAX_PARTS = 32
+
+
+def digest_request(account: str, path: str, body: bytes) -> str:
+    """Return a fingerprint that is equal when a caller repeats a request."""
+    return _digest(account.encode(), path.encode(), body)
+
+
+def digest_shared_parts(parts: Sequence[PromptPart]) -> tuple[str, ...]:
+    """Return the fingerprints of the parts that other prompts may share.
+
+    The last part belongs to the request or to its session and is left out.
+    """
+    shared = dict.fromkeys(part.part_id for part in parts[:-1][:_MAX_PARTS])
+    return tuple(_digest(b"prompt part", part_id.encode()) for part_id in shared)
+
+
+def _digest(*fields: bytes) -> str:
+    digest = hashlib.sha256()
+    for field in fields:
+        digest.update(field)
+        digest.update(b"\0")
+    return digest.hexdigest()[:_FINGERPRINT_LENGTH]
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -23,6 +23,7 @@
 from heathertackd.forwarding._bodies import read_body
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import ForwardingDialect, RequestHead
+from heathertackd.forwarding._fingerprints import digest_request, digest_shared_parts
 from heathertackd.forwarding._kv_cache import KvCacheMover
 from heathertackd.forwarding._request_spec import (
     RequestSpec,
@@ -173,6 +174,10 @@
             bundle_index=view.log_index,
             has_backups=engine is not None and engine.get("backups", False),
             event_tokens=engine.get("event_tokens", 1) if engine is not None else 1,
+            fingerprint=digest_request(account, path, body),
+            part_fingerprints=digest_shared_parts(
+                head.size.parts if head.size is not None else ()
+            ),
         )
 
     async def _wait_for_bundle(self) -> BundleView:
--- a/packages/heathertackd/src/heathertackd/forwarding/_request_spec.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_request_spec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import NamedTuple
 
 import xxhash
@@ -53,6 +52,10 @@
     has_backups: bool
     #: Number of tokens in one event of a stream.
     event_tokens: int
+    #: Equal when the caller repeats the request.
+    fingerprint: str
+    #: Fingerprints of the prompt parts that other requests may share.
+    part_fingerprints: tuple[str, ...]
 
     @property
     def can_run_again(self) -> bool:
@@ -126,7 +129,7 @@
         prompt_tokens=size.prompt_tokens,
         max_tokens=size.max_tokens,
         prefix=_digest_parts(size.parts),
-        fingerprint=_digest_request(spec),
+        fingerprint=spec.fingerprint,
         excluded=excluded,
         max_wait=spec.max_wait(now),
         expected_tokens=size.expected_tokens,
@@ -174,12 +177,3 @@
             state.update(block.to_bytes(4, "big"))
             digests.append(state.intdigest() >> 1)
     return tuple(digests)
-
-
-def _digest_request(spec: RequestSpec) -> str:
-    """Return a fingerprint that is equal when a caller repeats a request."""
-    digest = hashlib.sha256()
-    for part in (spec.account.encode(), spec.path.encode(), spec.body):
-        digest.update(part)
-        digest.update(b"\0")
-    return digest.hexdigest()[:32]
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -286,7 +286,12 @@
             return gone
         target_request = self._build_request(record, placement, continuation)
         self._sent_count += 1
-        self._log("request_sent", target=placement.target, reason=placement.reason)
+        self._log(
+            "request_sent",
+            target=placement.target,
+            reason=placement.reason,
+            parts=",".join(self._spec.part_fingerprints),
+        )
         result = await self._client.send(target_request)
         if isinstance(result, Failure):
             error: ExchangeError = result.failure()
@@ -551,7 +556,13 @@
         """Report a target that became unreachable while it ran the request."""
         if await self._client.is_reachable(target.address):
             return
-        self._log("target_lost", target=target.name)
+        self._log(
+            "target_lost",
+            target=target.name,
+            fingerprint=self._spec.fingerprint,
+            parts=",".join(self._spec.part_fingerprints),
+            events=self._stream.count,
+        )
         now = _clock.monotonic()
         reservation = build_reservation(self._spec, self._attempt, (), now)
         loss = TargetLossReported(reservation, target.name)
