--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import CONTROL, Blackboard, ControlView, Section
@@ -47,6 +49,8 @@
     """The platform returned its list of live and leaving targets."""
 
     targets: tuple[TargetRecord, ...]
+    #: Software version of each target by name.
+    versions: Mapping[str, str] = MappingProxyType({})
 
 
 class TargetLeavingReported(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -10,7 +10,7 @@
 from heathertackd._leaving_watcher import LeavingReporter, LeavingWatcher
 from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._retry_allowance import RetryAllowance
-from heathertackd._watchers import PlatformWatcher, TargetLister
+from heathertackd._watchers import ListedTarget, PlatformWatcher, TargetLister
 
 __all__ = [
     "ConnectionBounds",
@@ -22,6 +22,7 @@
     "Instance",
     "LeavingReporter",
     "LeavingWatcher",
+    "ListedTarget",
     "Logger",
     "PlatformWatcher",
     "RetryAllowance",
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from typing import Protocol, TypedDict
+from typing import NamedTuple, Protocol, TypedDict
 
 import aiohttp
 import msgspec
@@ -42,10 +42,18 @@
     instances: list[_PlatformInstance]
 
 
+class ListedTarget(NamedTuple):
+    """A target as the platform lists it."""
+
+    record: TargetRecord
+    #: Version of its software, empty if the platform names none.
+    version: str = ""
+
+
 class TargetLister(Protocol):
     """Fetches the platform's list of targets."""
 
-    async def fetch(self) -> Result[tuple[TargetRecord, ...], str]:
+    async def fetch(self) -> Result[tuple[ListedTarget, ...], str]:
         """Return the whole list, or why it can't be read."""
         ...
 
@@ -65,13 +73,15 @@
         self._url = url
         self._session = session
 
-    async def fetch(self) -> Result[tuple[TargetRecord, ...], str]:
+    async def fetch(self) -> Result[tuple[ListedTarget, ...], str]:
         """Return the whole list, or why it can't be read."""
         timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
                 listed = msgspec.json.decode(await response.read(), type=_PlatformList)
-            return Success(tuple(_describe_target(i) for i in listed["instances"]))
+            return Success(
+                tuple(ListedTarget(_describe_target(i)) for i in listed["instances"])
+            )
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Failure(repr(error))
 
@@ -120,9 +130,15 @@
             self._instance.logger.warning(event, detail=detail)
         if not is_reachable or self._instance.grantor is None:
             return
-        targets = tuple(self._complete(target) for target in result.unwrap())
+        targets = tuple(
+            target._replace(record=self._complete(target.record))
+            for target in result.unwrap()
+        )
         self._log_changes(targets)
-        listed = PlatformTargetsListed(targets)
+        listed = PlatformTargetsListed(
+            tuple(target.record for target in targets),
+            {target.record.name: target.version for target in targets},
+        )
         actions = self._instance.grantor.handle(listed, _clock.monotonic())
         self._instance.carry_out(actions)
 
@@ -136,9 +152,9 @@
         slots = target.slots or engine["slots"]
         return target._replace(cache_tokens=engine["cache_tokens"], slots=slots)
 
-    def _log_changes(self, targets: tuple[TargetRecord, ...]) -> None:
+    def _log_changes(self, targets: tuple[ListedTarget, ...]) -> None:
         known = self._instance.board.read(TARGETS)
-        for target in targets:
+        for target, version in targets:
             before = known.get(target.name)
             if before is None or before.state is not target.state:
                 self._instance.logger.info(
@@ -146,6 +162,7 @@
                     target=target.name,
                     service=target.service,
                     address=target.address,
+                    version=version,
                     state=target.state.value,
                 )
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -45,6 +45,9 @@
     size: GenerationSize | None = None
     #: Id of the last event that the caller received from an earlier response.
     last_event_id: str = ""
+    #: Id of the request whose response brought the first event of the stream that the
+    #: caller takes up; empty for a new stream.
+    resumed_request_id: str = ""
 
 
 class ForwardAttempt(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -326,6 +326,8 @@
             target=placement.target,
             reason=placement.reason,
             parts=",".join(self._spec.identity.parts),
+            last_event_id=self._stream.last_event_id,
+            resumes=self._spec.head.resumed_request_id,
         )
         result = await self._client.send(target_request)
         if isinstance(result, Failure):
--- a/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -19,6 +19,7 @@
 _TIMEOUT = "X-Request-Timeout"
 _TARGET = "X-Heathertack-Target"
 _ACCOUNT = "X-Client-Account"
+_RESUMED_REQUEST_ID = "X-Resumed-Request-Id"
 _NOT_RUN = "X-Heathertack-Not-Run"
 _OWN_HEADERS = frozenset(
     {"authorization", _TIMEOUT.lower(), _TARGET.lower(), _ACCOUNT.lower()}
@@ -44,7 +45,14 @@
         kept = copy_end_to_end(headers, _OWN_HEADERS)
         last_event_id = headers.get("Last-Event-Id", "")
         return Success(
-            RequestHead(request_id, key, timeout, kept, last_event_id=last_event_id)
+            RequestHead(
+                request_id,
+                key,
+                timeout,
+                kept,
+                last_event_id=last_event_id,
+                resumed_request_id=headers.get(_RESUMED_REQUEST_ID, ""),
+            )
         )
 
     def encode_request(
