Keep each stream at engines of the software version that began it

Callers got streams that held events of two software versions, which don't fit together (ORDER). Cause: no controller knew versions. The adapter dropped the field of the list, so that backups, moves and new runs of a broken stream went to whatever engine had room, and an instance where a caller took a stream up knew nothing of it: a property that binds later decisions was not part of the state that they are made from.

The leader publishes versions in a message of its own before each grant (a longer TargetRecord would be unreadable for older builds; a lost message is made up for by full tables). A session binds its stream to the version of the target that sends the first event. Admission chooses backups and destinations of moves within it; the entry excludes all other targets from new runs and checks every placement again, since owners may learn late or run an older build. The origin of each resumable stream is sent to three instances in different failure domains, again each 5 s while it is open; one where a caller takes a stream up asks five. Without an origin it goes on only if all know of one version, else it is refused at once as not run.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -84,6 +84,8 @@
 LEASE: Section[LeaseView] = Section("lease", LeaseView())
 MEMBERS: Section[Mapping[str, MemberRecord]] = Section("members", {})
 TARGETS: Section[Mapping[str, TargetRecord]] = Section("targets", {})
+#: Software version by the name of the target; empty if the leader publishes none.
+TARGET_VERSIONS: Section[Mapping[str, str]] = Section("target_versions", {})
 SUSPECTS: Section[Mapping[str, int]] = Section("suspects", {})
 CONTROL: Section[ControlView] = Section("control", ControlView())
 DRAIN: Section[DrainView] = Section("drain", DrainView())
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -8,6 +8,7 @@
 from heathertack.blackboard import (
     MEMBERS,
     SUSPECTS,
+    TARGET_VERSIONS,
     TARGETS,
     Blackboard,
     Section,
@@ -19,6 +20,7 @@
     EngineLoad,
     TargetCapacity,
 )
+from heathertack.controllers._software_versions import find_version
 from heathertack.messages import (
     MemberState,
     ReservationAnnounce,
@@ -128,7 +130,12 @@
         Parameters.
     """
 
-    READS: ClassVar[tuple[Section[Any], ...]] = (MEMBERS, SUSPECTS, TARGETS)
+    READS: ClassVar[tuple[Section[Any], ...]] = (
+        MEMBERS,
+        SUSPECTS,
+        TARGETS,
+        TARGET_VERSIONS,
+    )
     WRITES: ClassVar[tuple[Section[Any], ...]] = ()
 
     def __init__(
@@ -142,6 +149,7 @@
         self._group_of_target: dict[str, str] = {}
         self._last_targets: Mapping[str, TargetRecord] | None = None
         self._last_members: Mapping[str, object] | None = None
+        self._last_versions: Mapping[str, str] | None = None
         self._owned_groups: frozenset[str] = frozenset()
         self._gone_instances: frozenset[str] = frozenset()
         board.register(self)
@@ -277,9 +285,15 @@
         """Update the groups if the tables of targets or members changed."""
         targets = self._board.read(TARGETS)
         members = self._board.read(MEMBERS)
-        if targets is self._last_targets and members is self._last_members:
+        versions = self._board.read(TARGET_VERSIONS)
+        if (
+            targets is self._last_targets
+            and members is self._last_members
+            and versions is self._last_versions
+        ):
             return
         self._last_targets = targets
+        self._last_versions = versions
         self._last_members = members
         alive = [m.instance for m in members.values() if m.state is MemberState.ALIVE]
         self._gone_instances = frozenset(
@@ -309,6 +323,13 @@
             if group_name == group.name and targets[name].state is TargetState.LIVE
         }
         group.set_targets(capacities)
+        group.set_versions(
+            {
+                name: find_version(self._board, name)
+                for name, group_name in self._group_of_target.items()
+                if group_name == group.name
+            }
+        )
 
 
 def partition_targets(
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -103,6 +103,10 @@
         """Set the targets that accept new requests, with their capacities."""
         self._targets.set_capacities(capacities)
 
+    def set_versions(self, versions: Mapping[str, str | None]) -> None:
+        """Set the software versions of all targets, ``None`` for unknown ones."""
+        self._targets.set_versions(versions)
+
     def request(
         self, request: ReservationRequest, instance: str, losses: int, now: float
     ) -> tuple[AddressedReply, ...]:
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -26,6 +26,8 @@
     TableVersion,
     TargetRecord,
     TargetState,
+    TargetVersion,
+    TargetVersions,
 )
 from heathertack.state import AcceptedBundle, MarkOwnerLost
 
@@ -123,6 +125,9 @@
         self._targets: VersionedTable[TargetRecord] = VersionedTable(
             self._next_sequence
         )
+        self._versions: VersionedTable[TargetVersion] = VersionedTable(
+            self._next_sequence
+        )
         self._holders: dict[str, _Holder] = {}
         self._cordoned: frozenset[str] = frozenset()
         self._reported_leaving: frozenset[str] = frozenset()
@@ -178,7 +183,7 @@
             case BundleCommitted():
                 return self._push_to_holders(control, now)
             case PlatformTargetsListed():
-                return self._update_listed_targets(event.targets, control, now)
+                return self._update_listed_targets(event, control, now)
             case TargetLeavingReported():
                 self._reported_leaving |= {event.target}
                 return self._push_target(event.target, control, now)
@@ -210,6 +215,7 @@
         self._sequence = 0
         self._members.clear()
         self._targets.clear()
+        self._versions.clear()
         self._holders.clear()
         self._cordoned = frozenset()
         self._reported_leaving = frozenset()
@@ -246,12 +252,13 @@
         lifetime = self._timings.duration * _CLOCK_DRIFT_FACTOR
         self._holders[request.instance] = _Holder(request, now, now + lifetime)
         self._members.put(request.instance, _describe_member(request, control))
-        actions.append(self._build_grant(request, control, now))
+        actions.extend(self._build_grant(request, control, now))
         return (*actions, *self._confirm_bundle(now))
 
     def _build_grant(
         self, request: LeaseRequest, control: ControlView, now: float
-    ) -> SendToPeer:
+    ) -> tuple[SendToPeer, ...]:
+        """Return a grant, preceded by the versions that changed."""
         is_full = request.table.term != self._term
         since = 0 if is_full else request.table.sequence
         grant = LeaseGrant(
@@ -269,23 +276,36 @@
             targets=self._targets.changes_since(since),
             suspects=control.suspects if self._suspects_sequence > since else None,
         )
-        return SendToPeer(request.instance, grant)
+        sent_grant = SendToPeer(request.instance, grant)
+        versions = self._versions.changes_since(since)
+        if not versions:
+            return (sent_grant,)
+        changed = TargetVersions(self._term, versions)
+        return (SendToPeer(request.instance, changed), sent_grant)
 
     def _push_to_holders(self, control: ControlView, now: float) -> tuple[Action, ...]:
         """Send the changes to every lease holder without extending its lease."""
         holders = [h for h in self._holders.values() if now < h.granted_until]
-        pushes = tuple(self._build_grant(h.request, control, now) for h in holders)
+        pushes = [
+            action
+            for holder in holders
+            for action in self._build_grant(holder.request, control, now)
+        ]
         return (*pushes, *self._confirm_bundle(now))
 
     def _update_listed_targets(
-        self, listed: tuple[TargetRecord, ...], control: ControlView, now: float
+        self, event: PlatformTargetsListed, control: ControlView, now: float
     ) -> tuple[Action, ...]:
-        names = {target.name for target in listed}
+        names = {target.name for target in event.targets}
         self._reported_leaving &= names
-        self._listed = {target.name: target for target in listed}
+        self._listed = {target.name: target for target in event.targets}
         changed = False
+        has_versions = any(event.versions.values())
         for name in names:
             changed |= self._put_target(name)
+            if has_versions:
+                version = TargetVersion(name, event.versions.get(name, ""))
+                changed |= self._versions.put(name, version)
         for name in tuple(self._targets):
             previous = self._targets.find(name)
             if name not in names and previous is not None:
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -11,6 +11,7 @@
     LEASE,
     MEMBERS,
     SUSPECTS,
+    TARGET_VERSIONS,
     TARGETS,
     Blackboard,
     BundleView,
@@ -34,6 +35,8 @@
     LeaseRequest,
     MemberState,
     TableVersion,
+    TargetState,
+    TargetVersions,
 )
 from heathertack.routing import RouteTable
 
@@ -52,13 +55,28 @@
     grant: LeaseGrant
 
 
+class TargetVersionsReceived(NamedTuple):
+    """A leader sent software versions of targets."""
+
+    versions: TargetVersions
+
+
 class LeaderHintReceived(NamedTuple):
     """A leader hint was received; it is empty if the sender has no leader."""
 
     hint: LeaderHint
 
 
-Event = LeaseDue | ReportedStateChanged | LeaseGrantReceived | LeaderHintReceived
+Event = (
+    LeaseDue
+    | ReportedStateChanged
+    | LeaseGrantReceived
+    | TargetVersionsReceived
+    | LeaderHintReceived
+)
+
+#: Interval at which the full tables are requested while a version is missing, seconds.
+_MISSING_VERSION_INTERVAL_SECONDS = 2.0
 
 
 class InstanceIdentity(NamedTuple):
@@ -91,6 +109,7 @@
         LEASE,
         MEMBERS,
         SUSPECTS,
+        TARGET_VERSIONS,
         TARGETS,
     )
 
@@ -112,6 +131,7 @@
         self._next_request = float("-inf")
         self._unanswered_since: float | None = None
         self._redirected_at = float("-inf")
+        self._next_full_request = float("-inf")
         board.register(self)
 
     @property
@@ -145,6 +165,8 @@
                 return self._request(now)
             case LeaseGrantReceived():
                 return self._apply_grant(event.grant, now)
+            case TargetVersionsReceived():
+                return self._apply_versions(event.versions)
             case LeaderHintReceived():
                 return self._handle_hint(event.hint, now)
             case _:
@@ -169,12 +191,45 @@
             leaving=drain.leaving,
             load=_round_load(drain.open_requests),
             bundle_index=self._board.read(BUNDLE).log_index,
-            table=self._table,
+            table=self._choose_table(now),
             sent_at=now,
         )
         leader = self._leader or self._board.read(CONTROL).leader
         return (SendToPeer(leader or self._select_candidate(), request),)
 
+    def _choose_table(self, now: float) -> TableVersion:
+        """Return the version of the tables; none if they are needed in full.
+
+        The message with a version may be lost although the grant that followed it was
+        received.
+        """
+        versions = self._board.read(TARGET_VERSIONS)
+        is_missing = bool(versions) and any(
+            target.name not in versions
+            for target in self._board.read(TARGETS).values()
+            if target.state is not TargetState.GONE
+        )
+        if not is_missing or now < self._next_full_request:
+            return self._table
+        self._next_full_request = now + _MISSING_VERSION_INTERVAL_SECONDS
+        return TableVersion()
+
+    def _apply_versions(self, received: TargetVersions) -> tuple[SendToPeer, ...]:
+        if received.term < self._term:
+            return ()
+        known = self._board.read(TARGET_VERSIONS)
+        versions = {**known, **dict(received.versions)}
+        self._board.write(self, TARGET_VERSIONS, versions)
+        return ()
+
+    def _forget_versions(self) -> None:
+        """Remove the versions of targets that are no longer in the table."""
+        targets = self._board.read(TARGETS)
+        known = self._board.read(TARGET_VERSIONS)
+        versions = {name: known[name] for name in known if name in targets}
+        if len(versions) != len(known):
+            self._board.write(self, TARGET_VERSIONS, versions)
+
     def _select_candidate(self) -> str:
         """Return the instance to send the request to while the leader is unknown.
 
@@ -264,6 +319,8 @@
         targets.update({record.name: record for record in grant.targets})
         self._board.write(self, MEMBERS, members)
         self._board.write(self, TARGETS, targets)
+        if replaces_tables:
+            self._forget_versions()
         if grant.suspects is not None:
             self._board.write(self, SUSPECTS, dict(grant.suspects))
         if grant.is_settled or not grant.is_full:
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -206,11 +206,7 @@
     def _request_target(
         self, request: ReservationRequest, now: float
     ) -> tuple[Action, ...]:
-        groups = [
-            name
-            for name in partition_targets(self._board.read(TARGETS))
-            if name.rpartition(":")[0] == request.service
-        ]
+        groups = self._list_groups(request)
         if not groups:
             return self._choose_locally(request._replace(group=""), now)
         self._group_counter += 1
@@ -225,6 +221,20 @@
         self._placements[request.generation_id] = placement
         return (SendToPeer(owner, request),)
 
+    def _list_groups(self, request: ReservationRequest) -> list[str]:
+        """Return the groups of a service, those with only excluded targets last."""
+        groups = {
+            name: targets
+            for name, targets in partition_targets(self._board.read(TARGETS)).items()
+            if name.rpartition(":")[0] == request.service
+        }
+        suitable = [
+            name
+            for name, targets in groups.items()
+            if not set(targets) <= set(request.excluded)
+        ]
+        return suitable or list(groups)
+
     def _find_owner(self, group: str, now: float) -> str | None:
         """Return the owner of a group, or the next in order if it is unresponsive.
 
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -29,6 +29,7 @@
         self._prefixes: dict[str, PrefixIndex] = {}
         self._slots: dict[str, int] = {}
         self._domains: dict[str, str] = {}
+        self._versions: Mapping[str, str | None] = {}
         self._usable: frozenset[str] = frozenset()
         self._avoid_until: dict[str, float] = {}
         #: Endpoints of the KV cache transfers in progress, by generation.
@@ -58,6 +59,10 @@
                 del self._slots[target]
                 del self._domains[target]
 
+    def set_versions(self, versions: Mapping[str, str | None]) -> None:
+        """Set the software versions of all targets, ``None`` for unknown ones."""
+        self._versions = versions
+
     def find_ledger(self, target: str) -> TargetLedger | None:
         """Return the ledger of a target, ``None`` if the target is unknown."""
         return self._ledgers.get(target)
@@ -81,8 +86,17 @@
     def list_candidates(
         self, request: ReservationRequest, now: float
     ) -> tuple[str, ...]:
-        """Return the targets that a request may go to."""
+        """Return the targets that a request may go to.
+
+        A running request moves with its KV cache, from the target that it excludes.
+        """
         usable = tuple(t for t in self._usable if t not in request.excluded)
+        if request.is_running:
+            usable = tuple(
+                target
+                for target in usable
+                if all(self._can_copy(source, target) for source in request.excluded)
+            )
         if not usable and not request.is_running:
             usable = tuple(self._usable)
         preferred = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
@@ -166,6 +180,8 @@
             return ""
         candidates: list[tuple[float, str]] = []
         for other in self._usable - {target}:
+            if not self._can_copy(target, other):
+                continue
             ledger = self._ledgers[other]
             peak = ledger.peak_with(backup)
             if peak <= self._tuning.backup_limit * ledger.capacity:
@@ -174,6 +190,11 @@
                 candidates.append((peak / max(ledger.capacity, 1) + penalty, other))
         return min(candidates)[1] if candidates else ""
 
+    def _can_copy(self, source: str, target: str) -> bool:
+        """Return whether a target can continue from the KV cache of another one."""
+        version = self._versions.get(source, "")
+        return version is not None and version == self._versions.get(target, "")
+
     def _run_load(self, added: LedgerEntry) -> float:
         """Return the fraction of all caches that running generations fill.
 
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_software_versions.py
@@ -0,0 +1,160 @@
+"""Distribution of software versions, and placement of streams that must keep theirs."""
+
+import pytest
+
+from heathertack.blackboard import TARGET_VERSIONS
+from heathertack.controllers import (
+    LeaseDue,
+    LeaseGrantReceived,
+    LeaseRequested,
+    PlatformTargetsListed,
+    SendToPeer,
+    TargetCapacity,
+    TargetVersionsReceived,
+    can_copy,
+    find_version,
+    has_version,
+    list_incompatible_targets,
+)
+from heathertack.controllers.tests.test_admission import Group, request
+from heathertack.controllers.tests.test_leases import Holder, Leader, target_record
+from heathertack.controllers.tests.test_moves import moving_request
+from heathertack.messages import LeaseGrant, LeaseRequest, TargetVersions
+
+VERSIONS = {"e1": "v1", "e2": "v2"}
+TARGETS_LISTED = tuple(target_record(name=name) for name in VERSIONS)
+
+
+class Published:
+    """One leader and one instance; messages with versions may be lost."""
+
+    def __init__(self) -> None:
+        self.leader = Leader("p")
+        self.leader.lead(1, until=1000.0)
+        self.holder = Holder("h", 1, ("p",))
+        self.loses_versions = False
+
+    @property
+    def versions(self) -> dict[str, str]:
+        published = self.holder.board.read(TARGET_VERSIONS)
+        return dict(published.items())
+
+    def list_targets(self, versions: dict[str, str], now: float) -> None:
+        listed = PlatformTargetsListed(
+            tuple(target_record(name=name) for name in versions), versions
+        )
+        self.deliver(self.leader.grantor.handle(listed, now), now)
+
+    def renew(self, now: float) -> None:
+        for action in self.holder.controller.handle(LeaseDue(), now):
+            if isinstance(action.message, LeaseRequest):
+                asked = LeaseRequested(action.message)
+                self.deliver(self.leader.grantor.handle(asked, now), now)
+
+    def deliver(self, actions: tuple[object, ...], now: float) -> None:
+        for action in actions:
+            message = action.message if isinstance(action, SendToPeer) else None
+            if isinstance(message, TargetVersions) and not self.loses_versions:
+                received = TargetVersionsReceived(message)
+                self.holder.controller.handle(received, now)
+            elif isinstance(message, LeaseGrant):
+                self.holder.controller.handle(LeaseGrantReceived(message), now)
+
+
+class TestPublishedVersions:
+    def test_versions_arrive_with_the_targets(self) -> None:
+        published = Published()
+        published.list_targets(VERSIONS, 0.0)
+        published.renew(0.1)
+        assert published.versions == VERSIONS
+
+    # Guards against an engine that restarts under its name with other software.
+    def test_changed_version_of_a_known_target_is_pushed(self) -> None:
+        published = Published()
+        published.list_targets(VERSIONS, 0.0)
+        published.renew(0.1)
+        published.list_targets({**VERSIONS, "e1": "v2"}, 0.2)
+        assert published.versions == {"e1": "v2", "e2": "v2"}
+
+    # Guards against an instance that never learns a version since one message was lost.
+    def test_lost_versions_are_requested_again(self) -> None:
+        published = Published()
+        published.list_targets(VERSIONS, 0.0)
+        published.renew(0.1)
+        published.loses_versions = True
+        published.list_targets({**VERSIONS, "e3": "v3"}, 0.2)
+        published.renew(0.7)
+        published.loses_versions = False
+        board = published.holder.board
+        assert find_version(board, "e3") is None
+        assert list_incompatible_targets(board, "tutor", "v1") == ("e2", "e3")
+        for step in range(10):
+            published.renew(3.0 + step)
+        assert find_version(board, "e3") == "v3"
+
+    def test_versions_of_removed_targets_are_forgotten(self) -> None:
+        published = Published()
+        for number in range(50):
+            published.list_targets({f"e{number}": "v1"}, float(number))
+            published.renew(number + 0.5)
+        published.leader.lead(2, until=1000.0)
+        published.list_targets({"e50": "v1"}, 100.0)
+        for step in range(10):
+            published.renew(101.0 + step)
+        assert published.versions == {"e50": "v1"}
+
+    # Guards against streams that can't continue anywhere while an older build leads.
+    def test_all_targets_are_compatible_without_versions(self) -> None:
+        published = Published()
+        published.list_targets({"e1": "", "e2": ""}, 0.0)
+        published.renew(0.1)
+        board = published.holder.board
+        assert published.versions == {}
+        assert list_incompatible_targets(board, "tutor", "") == ()
+        assert can_copy(board, "e1", "e2")
+        assert has_version(board, "tutor", "")
+
+
+def build_group(versions: dict[str, str | None]) -> Group:
+    group = Group(engines=0)
+    capacities = {name: TargetCapacity(10_000, 0, "a") for name in versions}
+    group.group.set_targets(capacities)
+    group.group.set_versions(versions)
+    return group
+
+
+class TestPlacement:
+    # Guards against a stream that moves to a target of another software version.
+    @pytest.mark.parametrize(
+        ("versions", "expected"),
+        [
+            ({"e0": "v1", "e1": "v2", "e2": "v1"}, "e2"),
+            ({"e0": "v1", "e1": "v2", "e2": "v2"}, ""),
+            ({"e0": "v1", "e1": None, "e2": "v2"}, ""),
+            ({"e0": None, "e1": None, "e2": None}, ""),
+        ],
+    )
+    def test_running_stream_moves_within_its_version(
+        self, versions: dict[str, str | None], expected: str
+    ) -> None:
+        group = build_group(versions)
+        assert group.ask(moving_request("m")) == expected
+
+    # Guards against a backup that can't be continued from.
+    @pytest.mark.parametrize(
+        ("versions", "expected"),
+        [
+            ({"e0": "v1", "e1": "v2", "e2": "v1", "e3": "v2"}, {"e0": "e2"}),
+            ({"e0": "v1", "e1": "v2"}, {"e0": ""}),
+            ({"e0": "v1", "e1": None}, {"e0": ""}),
+        ],
+    )
+    def test_backup_has_the_version_of_its_stream(
+        self, versions: dict[str, str | None], expected: dict[str, str]
+    ) -> None:
+        group = build_group(versions)
+        others = tuple(name for name in versions if name not in expected)
+        asked = request("r", excluded=others)._replace(needs_backup=True)
+        target = group.ask(asked)
+        assert target is not None
+        assert {target: getattr(group.replies["r"], "backup", "")} == expected
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -33,6 +33,14 @@
     ReservationRequest,
     ReservationUnknown,
 )
+from heathertack.messages._streams import (
+    StreamOrigin,
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOrigins,
+    TargetVersion,
+    TargetVersions,
+)
 
 __all__ = [
     "PEER_CODEC",
@@ -61,8 +69,14 @@
     "ReservationRelease",
     "ReservationRequest",
     "ReservationUnknown",
+    "StreamOrigin",
+    "StreamOriginQuery",
+    "StreamOriginReply",
+    "StreamOrigins",
     "TableVersion",
     "TargetRecord",
     "TargetReport",
     "TargetState",
+    "TargetVersion",
+    "TargetVersions",
 ]
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -25,6 +25,12 @@
     ReservationRequest,
     ReservationUnknown,
 )
+from heathertack.messages._streams import (
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOrigins,
+    TargetVersions,
+)
 
 
 class MemberState(StrEnum):
@@ -209,6 +215,10 @@
     | ReservationRelease
     | ReservationCopyDropped
     | ReservationBlame
+    | TargetVersions
+    | StreamOrigins
+    | StreamOriginQuery
+    | StreamOriginReply
 )
 
 #: Codec of the messages between instances.
@@ -236,5 +246,9 @@
         ReservationRelease,
         ReservationCopyDropped,
         ReservationBlame,
+        TargetVersions,
+        StreamOrigins,
+        StreamOriginQuery,
+        StreamOriginReply,
     )
 )
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -9,7 +9,7 @@
 from heathertack.policy._ledger import LedgerEntry, TargetLedger, projected_peak
 from heathertack.policy._lengths import LengthEstimator
 from heathertack.policy._prefix_index import BLOCK_TOKENS, PrefixIndex, digest_prefixes
-from heathertack.policy._rendezvous import choose_owner, group_targets
+from heathertack.policy._rendezvous import choose_owner, group_targets, rank_instances
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
 from heathertack.policy._target_loss_counter import TargetLossCounter
@@ -35,4 +35,5 @@
     "find_crash_causes",
     "group_targets",
     "projected_peak",
+    "rank_instances",
 ]
--- a/packages/heathertack/src/heathertack/policy/_rendezvous.py
+++ b/packages/heathertack/src/heathertack/policy/_rendezvous.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
@@ -17,6 +17,26 @@
     return max(instances, key=lambda name: _hash_weight(group, name), default=None)
 
 
+def rank_instances(key: str, domains: Mapping[str, str]) -> tuple[str, ...]:
+    """Order instances by their weight for a key, with one of each domain first.
+
+    Parameters
+    ----------
+    key : str
+        Key that the instances are responsible for.
+    domains : mapping of str to str
+        Failure domain of each instance.
+    """
+    ordered = sorted(domains, key=lambda name: _hash_weight(key, name), reverse=True)
+    used: set[str] = set()
+    first: list[str] = []
+    for name in ordered:
+        if domains[name] not in used:
+            used.add(domains[name])
+            first.append(name)
+    return (*first, *(name for name in ordered if name not in first))
+
+
 def group_targets(service: str, targets: Iterable[str]) -> dict[str, tuple[str, ...]]:
     """Divide the targets of a service into groups.
 
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -46,6 +46,12 @@
     LeaseHolderController,
     LeaseRequested,
     LeaseTimings,
+    OriginDetermined,
+    OriginNeeded,
+    OriginQueryReceived,
+    OriginReplyReceived,
+    OriginsDue,
+    OriginsReceived,
     OwnerReplied,
     PlacementController,
     PlacementDenied,
@@ -59,10 +65,12 @@
     ReportedStateChanged,
     ReservationReceived,
     SendToPeer,
+    StreamOriginController,
     TargetChosen,
     TargetHealthController,
     TargetLeavingReported,
     TargetLossReceived,
+    TargetVersionsReceived,
     TimePassed,
     derive_lease_timings,
     instance_of,
@@ -86,7 +94,11 @@
     ReservationRelease,
     ReservationRequest,
     ReservationUnknown,
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOrigins,
     TargetReport,
+    TargetVersions,
 )
 from heathertack.policy import ADMISSION_TUNING, AdmissionTuning, CrashCause
 from heathertack.settings import Settings
@@ -118,6 +130,7 @@
     | TargetChosen
     | PlacementDenied
     | CopyDropped
+    | OriginDetermined
 )
 
 
@@ -182,6 +195,8 @@
         self.placement = PlacementController(board)
         self.quarantine = QuarantineController(board)
         self._logged_causes: tuple[CrashCause, ...] = ()
+        self.origins = StreamOriginController(board, self.name)
+        self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
         self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
         self.control = ControlClient(self.send, self._find_leader)
         self._commands = CommandQueue(self.control, logger)
@@ -241,12 +256,20 @@
             case JoinRequest():
                 if instance_of(message.replica) == sender:
                     self.post_control(JoinReceived(message))
-            case LeaseRequest() | LeaseGrant() | LeaderHint() | TargetReport():
+            case (
+                LeaseRequest()
+                | LeaseGrant()
+                | LeaderHint()
+                | TargetReport()
+                | TargetVersions()
+            ):
                 self._handle_lease_message(sender, message, now)
             case ControlRequest():
                 self._submit_command(sender, message, now)
             case ControlReply():
                 self.control.receive(message)
+            case StreamOrigins() | StreamOriginQuery() | StreamOriginReply():
+                self._handle_origin_message(sender, message, now)
             case _:
                 self._handle_reservation_message(sender, message, now)
 
@@ -260,6 +283,16 @@
         """Remove the listener of a generation."""
         self._listeners.pop(generation_id, None)
 
+    async def find_origin(self, stream: str, service: str) -> OriginDetermined:
+        """Return which software version began a stream that a caller resumes."""
+        waiter = self._origin_waiters.get(stream)
+        if waiter is None:
+            waiter = asyncio.get_running_loop().create_future()
+            self._origin_waiters[stream] = waiter
+            needed = OriginNeeded(stream, service)
+            self._carry_out(self.origins.handle(needed, _clock.monotonic()))
+        return await asyncio.shield(waiter)
+
     def post_control(self, event: ControlLogEvent) -> None:
         """Queue an event for the control log, on instances that have one."""
         if self.control_log is not None:
@@ -342,6 +375,7 @@
         self._carry_out(self.admission.handle(AdmissionDue(), now))
         self._carry_out(self.placement.handle(PlacementDue(), now))
         self._carry_out(self.quarantine.handle(QuarantineDue(), now))
+        self._carry_out(self.origins.handle(OriginsDue(), now))
         self._log_quarantine()
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
@@ -361,7 +395,9 @@
     def _handle_lease_message(
         self,
         sender: str,
-        message: LeaseRequest | LeaseGrant | LeaderHint | TargetReport,
+        message: (
+            LeaseRequest | LeaseGrant | LeaderHint | TargetReport | TargetVersions
+        ),
         now: float,
     ) -> None:
         match message:
@@ -372,6 +408,9 @@
                 self._carry_out(self.lease_holder.handle(hint, now))
             case LeaseRequest():
                 self._handle_lease_request(sender, message, now)
+            case TargetVersions():
+                versions = TargetVersionsReceived(message)
+                self._carry_out(self.lease_holder.handle(versions, now))
             case TargetReport():
                 if self.grantor is not None:
                     report = TargetLeavingReported(message.target)
@@ -400,6 +439,25 @@
                 version=after.bundle["version"],
             )
 
+    def _handle_origin_message(
+        self,
+        sender: str,
+        message: StreamOrigins | StreamOriginQuery | StreamOriginReply,
+        now: float,
+    ) -> None:
+        match message:
+            case StreamOrigins():
+                received = OriginsReceived(message)
+                self._carry_out(self.origins.handle(received, now))
+            case StreamOriginQuery():
+                query = OriginQueryReceived(sender, message)
+                self._carry_out(self.origins.handle(query, now))
+            case StreamOriginReply():
+                reply = OriginReplyReceived(sender, message)
+                self._carry_out(self.origins.handle(reply, now))
+            case _:
+                assert_never(message)
+
     def _handle_reservation_message(
         self, sender: str, message: PeerMessage, now: float
     ) -> None:
@@ -474,6 +532,10 @@
                     listener = self._listeners.get(action.generation_id)
                     if listener is not None:
                         listener.handle_placement(action)
+                case OriginDetermined():
+                    waiter = self._origin_waiters.pop(action.stream, None)
+                    if waiter is not None and not waiter.done():
+                        waiter.set_result(action)
                 case CopyDropped():
                     listener = self._listeners.get(action.generation_id)
                     if listener is not None:
--- a/packages/heathertackd/src/heathertackd/forwarding/_fingerprints.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints by which target losses are attributed to requests."""
+"""Fingerprints of requests, of the parts of their prompts, and of streams."""
 
 from __future__ import annotations
 
@@ -32,6 +32,11 @@
     )
 
 
+def identify_stream(account: str, request_id: str) -> str:
+    """Return the name by which instances remember the stream that a request began."""
+    return _digest(b"stream", account.encode(), request_id.encode())
+
+
 def _digest(*fields: bytes) -> str:
     digest = hashlib.sha256()
     for field in fields:
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -24,6 +24,8 @@
     TargetLossReported,
     TargetSucceeded,
     TokensGenerated,
+    can_copy,
+    find_version,
 )
 from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
 from heathertackd import _clock
@@ -39,6 +41,7 @@
     build_reservation,
 )
 from heathertackd.forwarding._stream_mover import StreamMover
+from heathertackd.forwarding._stream_version import StreamVersion
 from heathertackd.forwarding._target_client import (
     ExchangeError,
     ExchangeFailure,
@@ -132,6 +135,7 @@
         )
         account = context.instance.metrics.account_label(spec.account)
         self._labels = (account, spec.service)
+        self._version = StreamVersion(context.instance, spec)
         self._stream = CallerEvents(
             request,
             spec.head.last_event_id,
@@ -156,6 +160,7 @@
             raise
         finally:
             self._context.stream_monitor.remove(self)
+            self._version.end()
             if self._mover is not None:
                 self._mover.cancel()
             self._release(ReservationOutcome.CANCELLED)
@@ -209,6 +214,14 @@
 
     async def _serve(self) -> web.StreamResponse:
         continuation: Continuation | None = None
+        if self._version.must_find_origin:
+            reason = await self._version.find_origin()
+            self._log(
+                "origin_determined",
+                resumes=self._spec.head.resumed_request_id,
+                version=self._version.version,
+                reason=reason,
+            )
         while True:
             decision = await self._find_placement(continuation)
             if isinstance(decision, PlacementDenied):
@@ -230,12 +243,28 @@
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
         """Return a placement, or why the request must not be sent."""
-        refusal = self._find_quarantine()
+        refusal = self._find_quarantine() or self._version.find_refusal(
+            self._placement_key, self._attempt
+        )
         if refusal is not None:
             return refusal
         decision = await self._obtain_placement(continuation)
+        if isinstance(decision, PlacementDenied):
+            return decision
         # Targets may have crashed under similar requests while this one waited.
-        return self._find_quarantine() or decision
+        refusal = self._find_quarantine() or self._version.find_mismatch(decision)
+        return refusal or self._drop_unusable_backup(decision)
+
+    def _drop_unusable_backup(self, placement: TargetChosen) -> TargetChosen:
+        """Return a placement without a backup that could not continue the stream."""
+        if not placement.backup:
+            return placement
+        if can_copy(self._instance.board, placement.target, placement.backup):
+            return placement
+        self._log("copy_dropped", keeper=placement.backup, detail="other version")
+        usable = placement._replace(backup="")
+        self._placement = usable
+        return usable
 
     def _find_quarantine(self) -> PlacementDenied | None:
         """Return a refusal if the request would crash its target."""
@@ -294,9 +323,10 @@
         self._tokens_before_placement = 0
         self._decision = asyncio.get_running_loop().create_future()
         now = _clock.monotonic()
-        reservation = build_reservation(
-            self._spec, self._attempt, self._excluded_targets, now
+        excluded = dict.fromkeys(
+            (*self._excluded_targets, *self._version.list_excluded())
         )
+        reservation = build_reservation(self._spec, self._attempt, tuple(excluded), now)
         if continuation is not None:
             reservation = reservation._replace(
                 preferred_target=continuation.target,
@@ -325,6 +355,7 @@
             "request_sent",
             target=placement.target,
             reason=placement.reason,
+            version=find_version(self._instance.board, placement.target),
             parts=",".join(self._spec.identity.parts),
             last_event_id=self._stream.last_event_id,
             resumes=self._spec.head.resumed_request_id,
@@ -415,7 +446,7 @@
             async for chunk in response.read_chunks():
                 events = self._stream.select_new(splitter.feed(chunk))
                 if events:
-                    await self._deliver_events(response, events)
+                    await self._deliver_events(placement, response, events)
         except (aiohttp.ClientPayloadError, ValueError) as error:
             return await self._handle_stream_break(placement, repr(error))
         except (aiohttp.ClientError, OSError) as error:
@@ -436,9 +467,14 @@
         return caller_response
 
     async def _deliver_events(
-        self, response: TargetResponse, events: tuple[StreamEvent, ...]
+        self,
+        placement: TargetChosen,
+        response: TargetResponse,
+        events: tuple[StreamEvent, ...],
     ) -> None:
         is_first = self._stream.response is None
+        if is_first:
+            self._version.bind(placement.target)
         had_started = self._stream.count >= _MIN_STARTED_EVENTS
         await self._stream.write(response.head, events)
         now = _clock.monotonic()
@@ -467,6 +503,8 @@
                 return moved
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
         backup = self._placement.backup if self._placement is not None else ""
+        if backup and not self._version.accepts(backup):
+            backup = ""
         self._record_failure(placement, error)
         if self._stream.count or backup:
             return Continuation(backup)
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -14,6 +14,7 @@
     PlacementEnded,
     PlacementRequested,
     TargetChosen,
+    can_copy,
 )
 from heathertack.messages import (
     ReservationOutcome,
@@ -122,6 +123,10 @@
             if isinstance(decision, PlacementDenied):
                 self._log("stream_not_moved", source=old.target, detail=decision.reason)
                 return None
+            if not can_copy(self._instance.board, old.target, decision.target):
+                detail = f"{decision.target} has another software version"
+                self._log("stream_not_moved", source=old.target, detail=detail)
+                return None
             if not decision.backup and not self._is_leaving(old.target):
                 detail = "no target has room for a backup"
                 self._log("stream_not_moved", source=old.target, detail=detail)
