Limit the memory that responses of targets may take

A target in trouble may send bytes without end. The body of a forwarded response was read whole without a limit: a stand-in on loopback had 943 MB read within the second of the request's timeout, which would end a process of 128 MB. Heads were bounded already (lines, number of headers), interim responses by the deadline, events of streams by 1 MB; the connection was closed each time.

Bodies are limited to 4 MB each and 8 MB together, those of reports, moves and the platform's list by limits of their own; a longer one counts as lost and its connection is closed. test_endless_responses.py failed on 4 of 8 heads and bodies before (memory), and passes now; its cases of streams without a length that end within an event passed before as well. The error of a closed connection is retrieved, so that it no longer fills the log with tracebacks of asyncio.

--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -9,6 +9,7 @@
 from heathertackd._instance import Instance
 from heathertackd._leaving_watcher import LeavingReporter, LeavingWatcher
 from heathertackd._logs import Logger, close_logs, configure_logs
+from heathertackd._response_bodies import ResponseTooLargeError, read_limited
 from heathertackd._retry_allowance import RetryAllowance
 from heathertackd._watchers import ListedTarget, PlatformWatcher, TargetLister
 
@@ -25,6 +26,7 @@
     "ListedTarget",
     "Logger",
     "PlatformWatcher",
+    "ResponseTooLargeError",
     "RetryAllowance",
     "StartError",
     "TargetLister",
@@ -32,4 +34,5 @@
     "close_logs",
     "configure_logs",
     "monotonic",
+    "read_limited",
 ]
--- a/packages/heathertackd/src/heathertackd/_engine_client.py
+++ b/packages/heathertackd/src/heathertackd/_engine_client.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from heathertack.controllers import EngineLoad, LinkFailure
+from heathertackd._response_bodies import read_limited
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
 _REQUEST_TIMEOUT_SECONDS = 1.0
@@ -17,6 +18,9 @@
 _EVENT_PREFIX = b"data: "
 _DONE_MARKER = b"[DONE]"
 _MAX_EVENT_BYTES = 1024 * 1024
+_MAX_REPORT_BYTES = 1024 * 1024
+#: A longer description of an error is cut off.
+_MAX_ERROR_BYTES = 500
 
 
 class EngineEvent(NamedTuple):
@@ -169,8 +173,10 @@
             async with self._session.get(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                return msgspec.json.decode(await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+                return msgspec.json.decode(
+                    await read_limited(response, _MAX_REPORT_BYTES)
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
 
 
@@ -232,10 +238,12 @@
     if response.status == 200:
         return Success(response)
     try:
-        detail = (await response.text())[:500]
+        detail = (await response.content.read(_MAX_ERROR_BYTES)).decode(
+            errors="replace"
+        )
     except (TimeoutError, aiohttp.ClientError, OSError):
         detail = ""
-    response.release()
+    response.close()
     return Failure(LinkError(_classify_status(response.status), detail))
 
 
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -21,10 +21,12 @@
 from heathertackd import _clock
 from heathertackd._engine_client import EngineClient
 from heathertackd._instance import Instance
+from heathertackd._response_bodies import read_limited
 
 _PLATFORM_POLL_SECONDS = 0.3
 _PLATFORM_TIMEOUT_SECONDS = 2.0
 _LOAD_POLL_SECONDS = 0.5
+_MAX_LIST_BYTES = 4 * 1024 * 1024
 #: Interval between checks for whether this instance leads.
 _LEADERSHIP_POLL_SECONDS = 0.05
 
@@ -78,7 +80,8 @@
         timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
-                listed = msgspec.json.decode(await response.read(), type=_PlatformList)
+                body = await read_limited(response, _MAX_LIST_BYTES)
+            listed = msgspec.json.decode(body, type=_PlatformList)
             return Success(
                 tuple(ListedTarget(_describe_target(i)) for i in listed["instances"])
             )
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from heathertackd._response_bodies import ResponseMemory
 from heathertackd.forwarding._dialect import ForwardingDialect, ResponseHead
 
 #: Timeout for connecting; a target that exceeds it counts as unreachable.
@@ -20,6 +21,11 @@
 _PROBE_TIMEOUT_SECONDS = 0.4
 #: Statuses that callers interpret as a guarantee that the request has not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: A longer body is treated as one that never ends.
+_MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Maximum memory of all bodies that are read at one time: they are buffered, since a
+#: body that breaks off must not look complete to the caller.
+_MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 _AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -73,14 +79,24 @@
         Contents of its header.
     response : aiohttp.ClientResponse
         The open response.
+    memory : ResponseMemory
+        Limits the memory of bodies.
     """
 
-    def __init__(self, head: ResponseHead, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self,
+        head: ResponseHead,
+        response: aiohttp.ClientResponse,
+        memory: ResponseMemory,
+    ) -> None:
         self._head = head
         self._response = response
+        self._memory = memory
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
         self._connection_closed = protocol.closed if protocol is not None else None
+        if self._connection_closed is not None:
+            self._connection_closed.add_done_callback(_retrieve_exception)
 
     @property
     def head(self) -> ResponseHead:
@@ -90,8 +106,8 @@
     async def read(self) -> Result[bytes, ExchangeError]:
         """Read and return the whole body."""
         try:
-            body = await self._response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            body = await self._memory.read(self._response)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return Failure(_may_have_run(repr(error)))
         if self._was_reset():
             return Failure(_may_have_run("the connection was reset in the body"))
@@ -145,6 +161,7 @@
     ) -> None:
         self._session = session
         self._dialect = dialect
+        self._memory = ResponseMemory(_MAX_BODY_BYTES, _MAX_BUFFERED_BYTES)
 
     async def probe(self, address: str) -> Reachability:
         """Return whether a target accepts connections."""
@@ -180,7 +197,9 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return Failure(_may_have_run(repr(error)))
         target_response = TargetResponse(
-            self._dialect.read_response(response.status, response.headers), response
+            self._dialect.read_response(response.status, response.headers),
+            response,
+            self._memory,
         )
         exchange_error = _find_error(target_response.head, request.request_id)
         if exchange_error is not None:
@@ -206,5 +225,11 @@
     return None
 
 
+def _retrieve_exception(closed: asyncio.Future[None]) -> None:
+    """Mark the error of a closed connection as seen: the response reports it too."""
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _may_have_run(detail: str) -> ExchangeError:
     return ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -83,6 +83,8 @@
             if not script.done():
                 self.caller_left.set()
                 script.cancel()
+            elif isinstance(script.exception(), ConnectionError):
+                self.caller_left.set()
             closing.cancel()
         except (ConnectionError, asyncio.IncompleteReadError):
             self.caller_left.set()
