--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -212,7 +212,12 @@
 
     async def _receive_all(self, listener: zmq.asyncio.Socket) -> None:
         while True:
-            frames = await listener.recv_multipart(copy=False)
+            try:
+                frames = await listener.recv_multipart(copy=False)
+            except zmq.Again:
+                # libzmq reports a message that it drops with its closed connection.
+                self._logger.info("peer_message_withdrawn")
+                continue
             sender = self._identify(frames[0])
             data = frames[-1].bytes
             self._metrics.peer_messages.labels("received").inc()
--- a/packages/heathertackd/src/heathertackd/tests/test_restarted_replica.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_restarted_replica.py
@@ -27,6 +27,8 @@
 
 
 class TestRestartedReplica:
+    # Guards against an instance that stops receiving after a peer closed a connection
+    # while a message of it was being read.
     def test_keeps_its_lease(self, start_system: SystemStarter) -> None:
         system = start_system(SystemShape(control_replicas=3))
         asyncio.run(asyncio.sleep(2.0))
