Test which broken requests count as crashes of their target

A crash counts only if the target refuses connections and had not sent two events; lost answers, broken streams and errors of a target that still runs do not. The test showed that a whole stream was recorded as begun twice; it is now recorded once.

--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -460,7 +460,8 @@
             )
         await caller_response.write_eof()
         self._record_success(placement)
-        self._record_start(_clock.monotonic())
+        if self._stream.count < _MIN_STARTED_EVENTS:
+            self._record_start(_clock.monotonic())
         self._record_longest_gap()
         delivered = f"{self._stream.count} events"
         self._finish("streamed", ReservationOutcome.FINISHED, delivered)
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_crash_reports.py
@@ -0,0 +1,98 @@
+"""Which broken requests are reported as crashes of their target."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import pytest
+
+from heathertack.controllers import QuarantineDue, RunCrashed, RunStarted
+from heathertackd.forwarding.tests.forwarding_system import (
+    ForwardingSystem,
+    Received,
+    Script,
+    close_connection,
+    respond,
+    route,
+    run_system,
+    stream,
+)
+
+#: Longer than the probe of a target takes, seconds.
+PROBE_SECONDS = 0.6
+
+
+def crash(system: ForwardingSystem, begin: Script | None) -> Script:
+    """Return a script that crashes its target, after the response of another one."""
+
+    async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+        if begin is not None:
+            await begin(received, writer)
+        system.targets[0].stop()
+        writer.transport.abort()
+
+    return script
+
+
+def record_events(system: ForwardingSystem) -> list[Any]:
+    """Record the events that the quarantine of the instance handles."""
+    events: list[Any] = []
+    handle = system.instance.quarantine.handle
+
+    def record(event: Any, now: float) -> Any:
+        if not isinstance(event, QuarantineDue):
+            events.append(event)
+        return handle(event, now)
+
+    system.instance.quarantine.handle = record  # type: ignore[method-assign]
+    return events
+
+
+async def send(system: ForwardingSystem) -> None:
+    try:
+        async with system.request() as got:
+            await got.read()
+    except aiohttp.ClientError:
+        pass
+    await asyncio.sleep(PROBE_SECONDS)
+
+
+class TestCrashReports:
+    # Guards against a crash that is not counted, and against lost answers or broken
+    # streams of sound requests that are counted as crashes.
+    @pytest.mark.parametrize(
+        ("begin", "expected"),
+        [
+            (None, [RunCrashed]),
+            (stream(1, breaks=True), [RunCrashed]),
+            (stream(1, 2, 3, breaks=True), [RunStarted]),
+        ],
+        ids=["no event", "first event", "further events"],
+    )
+    async def test_crash_is_reported_unless_the_answer_had_begun(
+        self, begin: Script | None, expected: list[type]
+    ) -> None:
+        async with run_system(route("streaming"), close_connection) as system:
+            events = record_events(system)
+            system.targets[0].script = crash(system, begin)
+            await send(system)
+            assert [type(event) for event in events] == expected
+
+    @pytest.mark.parametrize(
+        ("script", "expected"),
+        [
+            (close_connection, []),
+            (stream(breaks=True), []),
+            (stream(1, 2, 3), [RunStarted]),
+            (stream(1), [RunStarted]),
+            (respond(b"no", 500), []),
+        ],
+        ids=["lost answer", "broken stream", "stream", "short stream", "error"],
+    )
+    async def test_target_that_still_runs_did_not_crash(
+        self, script: Script, expected: list[type]
+    ) -> None:
+        async with run_system(route("streaming"), script) as system:
+            events = record_events(system)
+            await send(system)
+            assert [type(event) for event in events] == expected
