--- a/packages/heathertackd/src/heathertackd/_command_queue.py
+++ b/packages/heathertackd/src/heathertackd/_command_queue.py
@@ -10,7 +10,7 @@
 from heathertackd._control_client import ControlClient
 from heathertackd._logs import Logger
 
-#: Time for which a command is retried while no leader confirms it, seconds. Longer
+#: Time for which a command is sent again until a leader confirms it, seconds. Longer
 #: than an election takes while instances restart or are cut off.
 _COMMIT_TIMEOUT_SECONDS = 60.0
 #: Maximum number of commands that wait; further ones are dropped.
