Count equal requests lost in one crash once, and refuse them for minutes only

Forwarded requests that are equal may be sound and popular. Since losses are shared, two of them in flight on one engine that crashes would have been refused everywhere for an hour, and no request could have shown that they are harmless. Found by reading, not seen. Generations of the product's own interface are counted as before.

--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -134,6 +134,7 @@
     find_surplus_records,
     list_suspects,
     part_fingerprint,
+    request_fingerprint,
 )
 from heathertack.controllers._orders import (
     Action as OrderAction,
@@ -343,5 +344,6 @@
     "list_suspects",
     "part_fingerprint",
     "partition_targets",
+    "request_fingerprint",
     "stall_timeout",
 ]
--- a/packages/heathertack/src/heathertack/controllers/_loss_suspects.py
+++ b/packages/heathertack/src/heathertack/controllers/_loss_suspects.py
@@ -8,16 +8,18 @@
 from heathertack.policy import CrashCause, LostRun, find_crash_causes
 from heathertack.state import LossRecord, TargetLoss
 
-#: Start of the fingerprints of prompt parts; those of requests have none.
+#: Start of the fingerprints of prompt parts, and of forwarded requests. Those of
+#: generations of the product's own interface have none.
 _PART_PREFIX = "part:"
+_REQUEST_PREFIX = "request:"
 #: Start of an entry that names several parts, which are refused together.
 _CAUSE_PREFIX = "cause:"
 _SEPARATOR = "+"
 #: Losses of one target that are further apart belong to different crashes: a target
 #: that restarts may keep its name. Includes the difference between wall clocks.
 _SAME_CRASH_SECONDS = 2.0
-#: Time after the latest crash for which parts are refused, seconds. It doubles with
-#: each further crash.
+#: Time after the latest crash for which parts and requests are refused, seconds. It
+#: doubles with each further crash.
 _MIN_REFUSAL_SECONDS = 60.0
 _MAX_REFUSAL_SECONDS = 3600.0
 #: Number of crashes up to which the shortest time applies.
@@ -40,6 +42,11 @@
     return _PART_PREFIX + digest
 
 
+def request_fingerprint(digest: str) -> str:
+    """Return the fingerprint of the forwarded request with a digest."""
+    return _REQUEST_PREFIX + digest
+
+
 def build_target_loss(target: str, attempt: str, wall_time: float) -> TargetLoss:
     """Return the record of a target that was lost while it ran an attempt."""
     return TargetLoss(target, f"{wall_time:.3f}/{attempt}")
@@ -62,7 +69,9 @@
     tuple of (str, int)
         Fingerprints, and sets of parts to refuse, with their number of losses.
     """
-    suspects = [(record.fingerprint, len(record.losses)) for record in records]
+    suspects = [
+        (record.fingerprint, _count_losses(record, wall_time)) for record in records
+    ]
     by_fingerprint = {record.fingerprint: record for record in records}
     for cause in find_crash_causes(_list_lost_runs(records)):
         latest = min(by_fingerprint[part].last_at for part in cause.parts)
@@ -102,6 +111,19 @@
     return min(_MIN_REFUSAL_SECONDS * 2.0**doublings, _MAX_REFUSAL_SECONDS)
 
 
+def _count_losses(record: LossRecord, wall_time: float) -> int:
+    """Return the number of losses to publish.
+
+    Equal requests may be sound and popular: several that are lost in one crash count
+    once, and all are sent again when their time of refusal is over.
+    """
+    if not record.fingerprint.startswith(_REQUEST_PREFIX):
+        return len(record.losses)
+    crashes = len(set(_group_by_crash(record.losses).values()))
+    is_over = wall_time >= record.last_at + _refusal_seconds(crashes)
+    return min(crashes, 1) if is_over else crashes
+
+
 def _format_cause(cause: CrashCause) -> str:
     return _CAUSE_PREFIX + _SEPARATOR.join(sorted(cause.parts))
 
@@ -113,17 +135,25 @@
         if record.fingerprint.startswith(_PART_PREFIX):
             for loss in record.losses:
                 parts_by_loss.setdefault(loss, set()).add(record.fingerprint)
-    runs: list[LostRun] = []
+    crashes = _group_by_crash(parts_by_loss)
+    return tuple(
+        LostRun(crash, frozenset(parts_by_loss[loss]))
+        for loss, crash in crashes.items()
+    )
+
+
+def _group_by_crash(losses: Iterable[TargetLoss]) -> dict[TargetLoss, str]:
+    """Return the crash that each loss belongs to, oldest first."""
+    crashes: dict[TargetLoss, str] = {}
     latest: dict[str, tuple[float, int]] = {}
-    for loss in sorted(parts_by_loss, key=_lost_at):
+    for loss in sorted(losses, key=_lost_at):
         lost_at = _lost_at(loss)
         crash_at, number = latest.get(loss.target, (float("-inf"), 0))
         if lost_at - crash_at > _SAME_CRASH_SECONDS:
             crash_at, number = lost_at, number + 1
             latest[loss.target] = (crash_at, number)
-        parts = frozenset(parts_by_loss[loss])
-        runs.append(LostRun(f"{loss.target}/{number}", parts))
-    return tuple(runs)
+        crashes[loss] = f"{loss.target}/{number}"
+    return crashes
 
 
 def _lost_at(loss: TargetLoss) -> float:
--- a/packages/heathertack/src/heathertack/controllers/_quarantine.py
+++ b/packages/heathertack/src/heathertack/controllers/_quarantine.py
@@ -15,8 +15,8 @@
 )
 from heathertack.state import ClearQuarantine, ReportTargetLoss
 
-#: Number of losses after which a request is refused when it is repeated.
-_REQUEST_LOSSES = 2
+#: Number of crashes after which a request is refused when it is repeated.
+_REQUEST_CRASHES = 2
 #: A run that began at most this long before a loss is published, seconds, still shows
 #: that its parts are harmless: reports and leases take about half a second.
 _RECENT_SECONDS = 2.0
@@ -104,9 +104,9 @@
     def find_match(self, run: RunIdentity) -> QuarantineMatch | None:
         """Return why a request must not be sent, ``None`` if it may be."""
         view = self.view
-        losses = view.losses.get(run.request, 0)
-        if losses >= _REQUEST_LOSSES:
-            return QuarantineMatch(losses, (run.request,))
+        crashes = view.losses.get(run.request, 0)
+        if crashes >= _REQUEST_CRASHES:
+            return QuarantineMatch(crashes, (run.request,))
         for cause in view.causes:
             if cause.parts.issubset(run.parts):
                 return QuarantineMatch(cause.crashes, tuple(sorted(cause.parts)))
--- a/packages/heathertackd/src/heathertackd/forwarding/_fingerprints.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_fingerprints.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Sequence
 
-from heathertack.controllers import part_fingerprint
+from heathertack.controllers import part_fingerprint, request_fingerprint
 from heathertackd.forwarding._dialect import PromptPart
 
 _FINGERPRINT_LENGTH = 32
@@ -18,7 +18,7 @@
 
 def digest_request(account: str, path: str, body: bytes) -> str:
     """Return a fingerprint that is equal when a caller repeats a request."""
-    return _digest(account.encode(), path.encode(), body)
+    return request_fingerprint(_digest(account.encode(), path.encode(), body))
 
 
 def digest_shared_parts(parts: Sequence[PromptPart]) -> tuple[str, ...]:
