Log on how many connections a request was sent before it failed

target_failed now carries transmissions: the HTTP client's own count of connections on which it wrote the header of the request. It tells a connection that was never made (0) from a request that a target received, whatever the last exception was.

--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -34,6 +34,7 @@
 from heathertackd.forwarding._session import ForwardingSession
 from heathertackd.forwarding._stream_monitor import StreamMonitor
 from heathertackd.forwarding._target_client import TargetClient
+from heathertackd.forwarding._transmissions import trace_transmissions
 
 #: Retry delay sent to callers while the bundle can't be confirmed, seconds; most
 #: leases are renewed within it.
@@ -54,7 +55,10 @@
         limit=0, force_close=True, socket_factory=open_target_socket
     )
     return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[trace_transmissions()],
     )
 
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -615,6 +615,7 @@
             "target_failed",
             target=placement.target,
             failure=error.failure.value,
+            transmissions=error.transmissions,
             detail=error.detail,
             events=self._stream.count,
         )
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -14,6 +14,7 @@
 
 from heathertackd._response_bodies import ResponseMemory
 from heathertackd.forwarding._dialect import ForwardingDialect, ResponseHead
+from heathertackd.forwarding._transmissions import TransmissionCount
 
 #: Timeout for connecting; a target that exceeds it counts as unreachable.
 _CONNECT_TIMEOUT_SECONDS = 1.0
@@ -55,6 +56,8 @@
 
     failure: ExchangeFailure
     detail: str
+    #: Number of connections on which the request was sent to the target.
+    transmissions: int = 0
 
 
 class TargetRequest(NamedTuple):
@@ -180,6 +183,15 @@
         self, request: TargetRequest
     ) -> Result[TargetResponse, ExchangeError]:
         """Send a request and wait for the header of its response."""
+        transmissions = TransmissionCount()
+        result = await self._exchange(request, transmissions)
+        return result.alt(
+            lambda error: error._replace(transmissions=transmissions.value)
+        )
+
+    async def _exchange(
+        self, request: TargetRequest, transmissions: TransmissionCount
+    ) -> Result[TargetResponse, ExchangeError]:
         try:
             response = await self._session.request(
                 request.method,
@@ -191,6 +203,7 @@
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=_CONNECT_TIMEOUT_SECONDS
                 ),
+                trace_request_ctx=transmissions,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(ExchangeError(ExchangeFailure.NOT_SENT, repr(error)))
