--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_crash_reports.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_crash_reports.py
@@ -48,9 +48,9 @@
     return events
 
 
-async def send(system: ForwardingSystem) -> None:
+async def send(system: ForwardingSystem, method: str = "POST") -> None:
     try:
-        async with system.request() as got:
+        async with system.request(method) as got:
             await got.read()
     except aiohttp.ClientError:
         pass
@@ -78,6 +78,16 @@
             await send(system)
             assert [type(event) for event in events] == expected
 
+    # Guards against crashes under a GET that are taken for refused connections, because
+    # the HTTP client connects to the target again.
+    @pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+    async def test_crash_is_reported_whatever_the_method(self, method: str) -> None:
+        async with run_system(route("idempotent"), close_connection) as system:
+            events = record_events(system)
+            system.targets[0].script = crash(system, None)
+            await send(system, method)
+            assert [type(event) for event in events] == [RunCrashed]
+
     @pytest.mark.parametrize(
         ("script", "expected"),
         [
