Send each request on one connection only

Cause: the HTTP client sends a request with an idempotent method a second time when its connection closes without a response. Here the second connection met the crashed engine and was refused, so the exchange ended as "never sent": no probe, no report of the crash, no use of max_attempts or of the retry budget, and a refusal that promises "not run". Where the engine still listened, the request ran twice, also on routes whose requests may run once.

A middleware turns the error into one that the client does not handle by itself, and a failure counts as not sent only if no header was written.

--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -34,7 +34,10 @@
 from heathertackd.forwarding._session import ForwardingSession
 from heathertackd.forwarding._stream_monitor import StreamMonitor
 from heathertackd.forwarding._target_client import TargetClient
-from heathertackd.forwarding._transmissions import trace_transmissions
+from heathertackd.forwarding._transmissions import (
+    prevent_resending,
+    trace_transmissions,
+)
 
 #: Retry delay sent to callers while the bundle can't be confirmed, seconds; most
 #: leases are renewed within it.
@@ -50,7 +53,7 @@
 
 
 def open_forwarding_session() -> aiohttp.ClientSession:
-    """Return a session that reuses no connections and decodes no bodies."""
+    """Return a session that sends each request once and decodes no bodies."""
     connector = aiohttp.TCPConnector(
         limit=0, force_close=True, socket_factory=open_target_socket
     )
@@ -58,6 +61,7 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(prevent_resending,),
         trace_configs=[trace_transmissions()],
     )
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -154,7 +154,7 @@
     Parameters
     ----------
     session : aiohttp.ClientSession
-        Session that reuses no connections and decodes no bodies.
+        Session that sends each request once and decodes no bodies.
     dialect : ForwardingDialect
         Decodes the headers of responses.
     """
@@ -206,6 +206,8 @@
                 trace_request_ctx=transmissions,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            if transmissions.value:
+                return Failure(_may_have_run(repr(error)))
             return Failure(ExchangeError(ExchangeFailure.NOT_SENT, repr(error)))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return Failure(_may_have_run(repr(error)))
--- a/packages/heathertackd/src/heathertackd/forwarding/_transmissions.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_transmissions.py
@@ -1,4 +1,4 @@
-"""Counts how often the HTTP client sends a request to its target."""
+"""Sends each request on one connection, and counts the connections."""
 
 from __future__ import annotations
 
@@ -7,6 +7,10 @@
 import aiohttp
 
 
+class InterruptedTransmissionError(aiohttp.ClientError):
+    """The connection failed after the request may have been sent."""
+
+
 class TransmissionCount:
     """Number of connections on which a request was sent."""
 
@@ -38,3 +42,19 @@
     del session, params
     transmissions: TransmissionCount = context.trace_request_ctx
     transmissions.increment()
+
+
+async def prevent_resending(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the HTTP client from sending a request on a second connection.
+
+    It does so for idempotent methods by default. A method does not tell whether a
+    request may run twice, and such a repetition would count nowhere.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise InterruptedTransmissionError(repr(error)) from error
