Read the request rates that targets name, and log their changes

The header is decoded once, by the dialect, into ResponseHead.request_rate; an unreadable one is logged and changes nothing. What each instance knows is a section of its own; target_limit_changed tells the rate, its age and where it came from. Nothing acts on it yet.

--- a/packages/heathertack/src/heathertack/blackboard/__init__.py
+++ b/packages/heathertack/src/heathertack/blackboard/__init__.py
@@ -14,6 +14,7 @@
     MEMBERS,
     SUSPECTS,
     TARGET_HEALTH,
+    TARGET_LIMITS,
     TARGET_VERSIONS,
     TARGETS,
     BundleView,
@@ -21,6 +22,7 @@
     DrainView,
     LeaseView,
     TargetHealth,
+    TargetLimit,
 )
 
 __all__ = [
@@ -32,6 +34,7 @@
     "SUSPECTS",
     "TARGETS",
     "TARGET_HEALTH",
+    "TARGET_LIMITS",
     "TARGET_VERSIONS",
     "Blackboard",
     "BlackboardError",
@@ -42,4 +45,5 @@
     "Section",
     "SectionUser",
     "TargetHealth",
+    "TargetLimit",
 ]
--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -80,6 +80,15 @@
     gap_deviation: float = 0.0
 
 
+class TargetLimit(NamedTuple):
+    """Rate of requests that a target accepts."""
+
+    #: Requests a second from all instances together; ``None`` for no limit any more.
+    rate: float | None
+    #: Time at which this was known to hold, monotonic clock, seconds.
+    known_at: float
+
+
 BUNDLE: Section[BundleView] = Section("bundle", BundleView())
 LEASE: Section[LeaseView] = Section("lease", LeaseView())
 MEMBERS: Section[Mapping[str, MemberRecord]] = Section("members", {})
@@ -89,4 +98,6 @@
 SUSPECTS: Section[Mapping[str, int]] = Section("suspects", {})
 CONTROL: Section[ControlView] = Section("control", ControlView())
 DRAIN: Section[DrainView] = Section("drain", DrainView())
+#: Limits by the name of the target, without those that never named one.
+TARGET_LIMITS: Section[Mapping[str, TargetLimit]] = Section("target_limits", {})
 TARGET_HEALTH: Section[Mapping[str, TargetHealth]] = Section("target_health", {})
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -192,6 +192,11 @@
     find_usable_targets,
     stall_timeout,
 )
+from heathertack.controllers._target_limits import (
+    LimitsDue,
+    TargetAnswered,
+    TargetLimitController,
+)
 from heathertack.controllers._watch_plan import WatchPlan
 
 __all__ = [
@@ -251,6 +256,7 @@
     "LeaseRequested",
     "LeaseTimings",
     "LeavingStarted",
+    "LimitsDue",
     "LinkClosed",
     "LinkFailure",
     "LinkOpened",
@@ -312,12 +318,14 @@
     "StreamGapMeasured",
     "StreamOriginController",
     "SubmitOutcome",
+    "TargetAnswered",
     "TargetCapacity",
     "TargetChosen",
     "TargetCordoned",
     "TargetFailed",
     "TargetHealthController",
     "TargetLeavingReported",
+    "TargetLimitController",
     "TargetLossReceived",
     "TargetLossReported",
     "TargetResponded",
--- /dev/null
+++ b/packages/heathertack/src/heathertack/controllers/_target_limits.py
@@ -0,0 +1,132 @@
+"""Limits on the rate of requests that targets name in their answers."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, NamedTuple, assert_never
+
+from heathertack.blackboard import (
+    TARGET_LIMITS,
+    TARGETS,
+    Blackboard,
+    Section,
+    TargetLimit,
+)
+from heathertack.messages import TargetState
+
+#: Time after which what was last said of a limit is forgotten, seconds. A target that
+#: gets requests answers much sooner.
+_RETENTION_SECONDS = 600.0
+#: Maximum number of targets whose limits are remembered; those known for longest are
+#: forgotten first.
+_MAX_LIMITS = 1024
+
+
+class TargetAnswered(NamedTuple):
+    """A target answered a request."""
+
+    target: str
+    #: Number of requests a second that the target accepts from all instances
+    #: together; ``None`` if the answer names no limit.
+    rate: float | None
+    #: Time at which the request was sent, monotonic clock, seconds.
+    sent_at: float
+
+
+class LimitsDue(NamedTuple):
+    """The clock advanced."""
+
+
+Event = TargetAnswered | LimitsDue
+
+
+class TargetLimitController:
+    """Keeps what is known of the limits of targets.
+
+    An answer that names a limit is newer than all earlier ones. One that names none
+    ends the limit only if its request was sent after the limit was last named, since
+    answers may overtake each other.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    """
+
+    READS: ClassVar[tuple[Section[Any], ...]] = (TARGETS,)
+    WRITES: ClassVar[tuple[Section[Any], ...]] = (TARGET_LIMITS,)
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        board.register(self)
+
+    def handle(self, event: Event, now: float) -> tuple[str, ...]:
+        """Handle an event.
+
+        Parameters
+        ----------
+        event : Event
+            Event to handle.
+        now : float
+            Monotonic clock, seconds.
+
+        Returns
+        -------
+        tuple of str
+            Targets whose rate has changed.
+        """
+        match event:
+            case TargetAnswered():
+                known_at = event.sent_at if event.rate is None else now
+                return self._merge({event.target: TargetLimit(event.rate, known_at)})
+            case LimitsDue():
+                return self._forget(now)
+            case _:
+                assert_never(event)
+
+    def _merge(self, found: dict[str, TargetLimit]) -> tuple[str, ...]:
+        """Adopt what is newer than what is known, and return the targets changed."""
+        known = self._board.read(TARGET_LIMITS)
+        newer = {
+            target: limit
+            for target, limit in found.items()
+            if _is_newer(limit, known.get(target))
+        }
+        if not newer:
+            return ()
+        merged = {**known, **newer}
+        for target in sorted(merged, key=lambda name: merged[name].known_at)[
+            : max(len(merged) - _MAX_LIMITS, 0)
+        ]:
+            del merged[target]
+        self._board.write(self, TARGET_LIMITS, merged)
+        unknown = TargetLimit(None, 0.0)
+        return tuple(
+            target
+            for target, limit in newer.items()
+            if limit.rate != known.get(target, unknown).rate
+        )
+
+    def _forget(self, now: float) -> tuple[str, ...]:
+        """Remove the limits of targets that are gone, and those that are too old."""
+        known = self._board.read(TARGET_LIMITS)
+        if not known:
+            return ()
+        targets = self._board.read(TARGETS)
+        kept = {
+            target: limit
+            for target, limit in known.items()
+            if now - limit.known_at < _RETENTION_SECONDS
+            and target in targets
+            and targets[target].state is not TargetState.GONE
+        }
+        if len(kept) == len(known):
+            return ()
+        self._board.write(self, TARGET_LIMITS, kept)
+        return tuple(t for t in known if t not in kept and known[t].rate is not None)
+
+
+def _is_newer(limit: TargetLimit, known: TargetLimit | None) -> bool:
+    """Return whether a limit replaces what is known of the same target."""
+    if known is None:
+        return limit.rate is not None
+    return limit.known_at > known.known_at
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -13,6 +13,7 @@
     CONTROL,
     DRAIN,
     LEASE,
+    TARGET_LIMITS,
     Blackboard,
 )
 from heathertack.consensus import (
@@ -46,6 +47,7 @@
     LeaseHolderController,
     LeaseRequested,
     LeaseTimings,
+    LimitsDue,
     OriginDetermined,
     OriginNeeded,
     OriginQueryReceived,
@@ -66,9 +68,11 @@
     ReservationReceived,
     SendToPeer,
     StreamOriginController,
+    TargetAnswered,
     TargetChosen,
     TargetHealthController,
     TargetLeavingReported,
+    TargetLimitController,
     TargetLossReceived,
     TargetVersionsReceived,
     TimePassed,
@@ -191,6 +195,7 @@
         self._set_seeds()
         self.drain = self._build_drain()
         self.health = TargetHealthController(board)
+        self.limits = TargetLimitController(board)
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board)
         self.quarantine = QuarantineController(board)
@@ -298,6 +303,10 @@
         if self.control_log is not None:
             self.control_log.post(event)
 
+    def record_target_answer(self, answer: TargetAnswered) -> None:
+        """Record what the answer of a target says of its limit."""
+        self._log_limits(self.limits.handle(answer, _clock.monotonic()), "answer")
+
     def announce_leaving(self) -> None:
         """Report to the leader at once that callers must use other instances."""
         now = _clock.monotonic()
@@ -376,9 +385,28 @@
         self._carry_out(self.placement.handle(PlacementDue(), now))
         self._carry_out(self.quarantine.handle(QuarantineDue(), now))
         self._carry_out(self.origins.handle(OriginsDue(), now))
+        expired = self.limits.handle(LimitsDue(), now)
+        if expired:
+            self._log_limits(expired, "expired")
         self._log_quarantine()
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
+    def _log_limits(self, targets: Iterable[str], source: str) -> None:
+        """Log the rates of targets whose limits have changed."""
+        limits = self.board.read(TARGET_LIMITS)
+        now = _clock.monotonic()
+        for target in targets:
+            limit = limits.get(target)
+            self.logger.info(
+                "target_limit_changed",
+                target=target,
+                rate=limit.rate if limit is not None else None,
+                age=round(now - limit.known_at, 3) if limit is not None else None,
+                source=source,
+            )
+        limited = sum(limit.rate is not None for limit in limits.values())
+        self.metrics.limited_targets.set(limited)
+
     def _log_quarantine(self) -> None:
         """Log the sets of prompt parts that are refused, when they change."""
         causes = self.quarantine.view.causes
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -62,6 +62,11 @@
             ("account", "code"),
             registry=self._registry,
         )
+        self.limited_targets = Gauge(
+            "heathertack_limited_targets",
+            "Targets that limit the rate of their requests",
+            registry=self._registry,
+        )
         self.dropped_events = Counter(
             "heathertack_dropped_events",
             "Events of engines that were not delivered",
--- a/packages/heathertackd/src/heathertackd/forwarding/__init__.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/__init__.py
@@ -10,6 +10,7 @@
     PromptPart,
     RequestHead,
     ResponseHead,
+    read_request_rate,
 )
 from heathertackd.forwarding._forwarder import Forwarder, open_forwarding_session
 from heathertackd.forwarding._hop_headers import copy_end_to_end
@@ -32,4 +33,5 @@
     "copy_end_to_end",
     "open_forwarding_session",
     "read_body",
+    "read_request_rate",
 ]
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 Headers = CIMultiDictProxy[str]
 
@@ -82,6 +82,23 @@
     has_not_run: bool
     #: Headers that are passed to the caller unchanged.
     headers: CIMultiDict[str]
+    #: Number of requests a second that the target accepts from all instances
+    #: together, ``None`` if it names no limit; or why the limit can't be read.
+    request_rate: Result[float | None, str] = Success(None)
+
+
+def read_request_rate(name: str, headers: Headers) -> Result[float | None, str]:
+    """Return the limit in the header with a name, ``None`` without that header."""
+    text = headers.get(name)
+    if text is None:
+        return Success(None)
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = -1.0
+    if not 0.0 <= rate < float("inf"):
+        return Failure(f"{name} has {text!r}, expected requests a second")
+    return Success(rate)
 
 
 class ForwardingDialect(Protocol):
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -33,6 +33,7 @@
 from heathertackd.forwarding._retry_limits import RetryLimits
 from heathertackd.forwarding._session import ForwardingSession
 from heathertackd.forwarding._stream_monitor import StreamMonitor
+from heathertackd.forwarding._target_answers import TargetAnswers
 from heathertackd.forwarding._target_client import TargetClient
 from heathertackd.forwarding._transmissions import (
     prevent_resending,
@@ -93,7 +94,7 @@
         self._limits = resolve_limits(instance.settings)
         self._context = ForwardingContext(
             instance,
-            TargetClient(session, dialect),
+            TargetClient(session, dialect, TargetAnswers(instance)),
             dialect,
             RetryLimits(instance.board, instance.retry_allowance),
             StreamMonitor(),
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -393,6 +393,7 @@
             self._dialect.encode_request(spec.head, attempt),
             spec.body,
             spec.head.request_id,
+            record.name,
         )
 
     async def _deliver(
--- a/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -12,6 +12,7 @@
     Headers,
     RequestHead,
     ResponseHead,
+    read_request_rate,
 )
 from heathertackd.forwarding._hop_headers import copy_end_to_end
 
@@ -21,6 +22,8 @@
 _ACCOUNT = "X-Client-Account"
 _RESUMED_REQUEST_ID = "X-Resumed-Request-Id"
 _NOT_RUN = "X-Heathertack-Not-Run"
+#: Number of requests a second that the target accepts from all instances together.
+_REQUEST_RATE = "X-Heathertack-Request-Rate"
 _OWN_HEADERS = frozenset(
     {"authorization", _TIMEOUT.lower(), _TARGET.lower(), _ACCOUNT.lower()}
 )
@@ -77,6 +80,7 @@
             is_signed=bool(request_id),
             has_not_run=_NOT_RUN in headers,
             headers=copy_end_to_end(headers),
+            request_rate=read_request_rate(_REQUEST_RATE, headers),
         )
 
     def format_retry_after(self, seconds: float) -> str:
--- /dev/null
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
@@ -0,0 +1,35 @@
+"""Passes on what targets say of themselves in the headers of their answers."""
+
+from __future__ import annotations
+
+from returns.result import Failure
+
+from heathertack.controllers import TargetAnswered
+from heathertackd._instance import Instance
+from heathertackd.forwarding._dialect import ResponseHead
+
+
+class TargetAnswers:
+    """Reports the limits that targets name to the controllers of an instance.
+
+    Parameters
+    ----------
+    instance : Instance
+        The daemon.
+    """
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def handle_answer(self, target: str, head: ResponseHead, sent_at: float) -> None:
+        """Handle the header of an answer."""
+        if isinstance(head.request_rate, Failure):
+            self._instance.logger.warning(
+                "target_limit_unreadable",
+                target=target,
+                request_id=head.request_id,
+                detail=head.request_rate.failure(),
+            )
+            return
+        rate = head.request_rate.unwrap()
+        self._instance.record_target_answer(TargetAnswered(target, rate, sent_at))
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -5,13 +5,14 @@
 import asyncio
 from collections.abc import AsyncIterator
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import aiohttp
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from heathertackd import _clock
 from heathertackd._response_bodies import ResponseMemory
 from heathertackd.forwarding._dialect import ForwardingDialect, ResponseHead
 from heathertackd.forwarding._transmissions import TransmissionCount
@@ -20,6 +21,8 @@
 _CONNECT_TIMEOUT_SECONDS = 1.0
 #: Timeout for connecting only to check whether a target is up.
 _PROBE_TIMEOUT_SECONDS = 0.4
+#: The request reached another target, which has taken over the address.
+_WRONG_TARGET = 421
 #: Statuses that callers interpret as a guarantee that the request has not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 #: A longer body is treated as one that never ends.
@@ -71,6 +74,26 @@
     headers: CIMultiDict[str]
     body: bytes
     request_id: str
+    #: Name of the target.
+    target: str
+
+
+class TargetAnswerListener(Protocol):
+    """Receives the headers of all answers that targets give to requests."""
+
+    def handle_answer(self, target: str, head: ResponseHead, sent_at: float) -> None:
+        """Handle the header of an answer.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        head : ResponseHead
+            Contents of the header.
+        sent_at : float
+            Time at which the request was sent, monotonic clock, seconds.
+        """
+        ...
 
 
 class TargetResponse:
@@ -157,13 +180,19 @@
         Session that sends each request once and decodes no bodies.
     dialect : ForwardingDialect
         Decodes the headers of responses.
+    listener : TargetAnswerListener
+        Receives the headers of all answers.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, dialect: ForwardingDialect
+        self,
+        session: aiohttp.ClientSession,
+        dialect: ForwardingDialect,
+        listener: TargetAnswerListener,
     ) -> None:
         self._session = session
         self._dialect = dialect
+        self._listener = listener
         self._memory = ResponseMemory(_MAX_BODY_BYTES, _MAX_BUFFERED_BYTES)
 
     async def probe(self, address: str) -> Reachability:
@@ -192,6 +221,7 @@
     async def _exchange(
         self, request: TargetRequest, transmissions: TransmissionCount
     ) -> Result[TargetResponse, ExchangeError]:
+        sent_at = _clock.monotonic()
         try:
             response = await self._session.request(
                 request.method,
@@ -216,7 +246,10 @@
             response,
             self._memory,
         )
-        exchange_error = _find_error(target_response.head, request.request_id)
+        head = target_response.head
+        if head.request_id == request.request_id and head.status != _WRONG_TARGET:
+            self._listener.handle_answer(request.target, head, sent_at)
+        exchange_error = _find_error(head, request.request_id)
         if exchange_error is not None:
             target_response.close()
             return Failure(exchange_error)
