Keep requests to each target within the rate that it accepts from all instances

What callers and targets saw: a target that named a rate of 1 or 2.7 requests a second got 14 and 25 requests within 4 s, where 11 and 21 are allowed (LIMIT).

Cause: the rate was not read, and the owner that assigns all requests of a group of targets knew only their slots and memory. Class of fault: a bound on all instances together that no instance keeps for the others.

Change: the admission owner draws a token for each request that it assigns, whatever it is: first try, retry, continuation, resumption, move. Entry instances tell the owner what answers say; the owner tells it to those that it gives such a target, and to the next owners, so that a restart loses nothing. An owner without a lease, or that stands in for another one, assigns each entry instance its even part; so does an entry instance that reaches no owner. Requests that no target can take in time are refused at once. Limits are known by the time at which they held, so that late answers change nothing; one answer to a later request ends them.

TargetRates is a message of its own, which older builds ignore (recorded bytes).

--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -148,6 +148,7 @@
 )
 from heathertack.controllers._placement import (
     CopyDropped,
+    LimitObserved,
     OwnerReplied,
     PlacementController,
     PlacementDenied,
@@ -194,6 +195,7 @@
 )
 from heathertack.controllers._target_limits import (
     LimitsDue,
+    RatesReceived,
     TargetAnswered,
     TargetLimitController,
 )
@@ -256,6 +258,7 @@
     "LeaseRequested",
     "LeaseTimings",
     "LeavingStarted",
+    "LimitObserved",
     "LimitsDue",
     "LinkClosed",
     "LinkFailure",
@@ -290,6 +293,7 @@
     "QuarantineDue",
     "QuarantineMatch",
     "RandomFloatSource",
+    "RatesReceived",
     "RecordingTimedOut",
     "Refusal",
     "ReleaseReceived",
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -6,12 +6,15 @@
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
+    LEASE,
     MEMBERS,
     SUSPECTS,
+    TARGET_LIMITS,
     TARGET_VERSIONS,
     TARGETS,
     Blackboard,
     Section,
+    TargetLimit,
 )
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission_group import AdmissionGroup
@@ -20,11 +23,13 @@
     EngineLoad,
     TargetCapacity,
 )
+from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._software_versions import find_version
 from heathertack.messages import (
     MemberState,
     ReservationAnnounce,
     ReservationBlame,
+    ReservationGrant,
     ReservationProgress,
     ReservationRelease,
     ReservationRequest,
@@ -37,6 +42,7 @@
     LengthEstimator,
     choose_owner,
     group_targets,
+    rank_successors,
 )
 
 
@@ -131,9 +137,11 @@
     """
 
     READS: ClassVar[tuple[Section[Any], ...]] = (
+        LEASE,
         MEMBERS,
         SUSPECTS,
         TARGETS,
+        TARGET_LIMITS,
         TARGET_VERSIONS,
     )
     WRITES: ClassVar[tuple[Section[Any], ...]] = ()
@@ -150,6 +158,11 @@
         self._last_targets: Mapping[str, TargetRecord] | None = None
         self._last_members: Mapping[str, object] | None = None
         self._last_versions: Mapping[str, str] | None = None
+        self._last_limits: Mapping[str, TargetLimit] | None = None
+        self._had_lease = False
+        #: Failure domains of the instances that accept work.
+        self._live_domains: Mapping[str, str] = {}
+        self._sharing = LimitSharing(board)
         self._owned_groups: frozenset[str] = frozenset()
         self._gone_instances: frozenset[str] = frozenset()
         board.register(self)
@@ -221,7 +234,7 @@
         request = event.request
         group = self._get_or_create_group(request.group, now)
         losses = self._board.read(SUSPECTS).get(request.fingerprint, 0)
-        return _to_actions(group.request(request, event.instance, losses, now))
+        return self._address(group.request(request, event.instance, losses, now), now)
 
     def _record_progress(
         self, event: ProgressReceived, now: float
@@ -232,7 +245,7 @@
             for item in event.progress.items
             if not group.record_progress(item.generation_id, item.generated_tokens, now)
         )
-        replies = _to_actions(group.dispatch(now))
+        replies = self._address(group.dispatch(now), now)
         if unknown:
             message = ReservationUnknown(unknown)
             return (*replies, SendToPeer(event.instance, message))
@@ -243,7 +256,7 @@
     ) -> tuple[SendToPeer, ...]:
         group = self._get_or_create_group(release.group, now)
         group.release(release, now)
-        return _to_actions(group.dispatch(now))
+        return self._address(group.dispatch(now), now)
 
     def _record_load(self, event: LoadReportReceived, now: float) -> None:
         group = self._groups.get(self._group_of_target.get(event.target, ""))
@@ -264,25 +277,69 @@
             )
 
     def _expire_and_dispatch(self, now: float) -> tuple[SendToPeer, ...]:
-        replies: list[SendToPeer] = []
+        replies = list(self._inform_successors(now))
         for name, group in tuple(self._groups.items()):
             replies.extend(
-                _to_actions(group.expire_and_dispatch(self._gone_instances, now))
+                self._address(group.expire_and_dispatch(self._gone_instances, now), now)
             )
             if group.is_idle and name not in self._owned_groups:
                 del self._groups[name]
         return tuple(replies)
 
+    def _inform_successors(self, now: float) -> tuple[SendToPeer, ...]:
+        """Tell the next owners of limited targets their limits.
+
+        The entry instances that use a new owner first may not know of the limits.
+        """
+        if not self._board.read(TARGET_LIMITS):
+            return ()
+        actions: list[SendToPeer] = []
+        for name in self._groups:
+            targets = [t for t, group in self._group_of_target.items() if group == name]
+            for instance in rank_successors(name, self._live_domains):
+                if instance != self._instance:
+                    actions.extend(self._sharing.build(instance, targets, now))
+        return tuple(actions)
+
     def _get_or_create_group(self, name: str, now: float) -> AdmissionGroup:
         group = self._groups.get(name)
         if group is None:
             group = AdmissionGroup(name, self._tuning, self._estimator, now)
             self._groups[name] = group
             self._set_targets(group)
+            self._set_rates(group, now)
         return group
 
+    def _address(
+        self, replies: tuple[AddressedReply, ...], now: float
+    ) -> tuple[SendToPeer, ...]:
+        """Return the messages with replies, each after what it says of limits.
+
+        An entry instance that gets a target learns its limit, so that it can tell it
+        to the next owner.
+        """
+        actions: list[SendToPeer] = []
+        for reply in replies:
+            if isinstance(reply.reply, ReservationGrant):
+                targets = (reply.reply.target,)
+                if reply.instance != self._instance:
+                    actions.extend(self._sharing.build(reply.instance, targets, now))
+            actions.append(SendToPeer(reply.instance, reply.reply))
+        return tuple(actions)
+
     def _apply_table_changes(self, now: float) -> None:
-        """Update the groups if the tables of targets or members changed."""
+        """Update the groups if tables, limits or the lease changed."""
+        self._apply_tables(now)
+        limits = self._board.read(TARGET_LIMITS)
+        has_lease = self._board.read(LEASE).is_valid(now)
+        if limits is self._last_limits and has_lease == self._had_lease:
+            return
+        self._last_limits = limits
+        self._had_lease = has_lease
+        for group in self._groups.values():
+            self._set_rates(group, now)
+
+    def _apply_tables(self, now: float) -> None:
         targets = self._board.read(TARGETS)
         members = self._board.read(MEMBERS)
         versions = self._board.read(TARGET_VERSIONS)
@@ -295,7 +352,13 @@
         self._last_targets = targets
         self._last_versions = versions
         self._last_members = members
-        alive = [m.instance for m in members.values() if m.state is MemberState.ALIVE]
+        self._last_limits = None
+        alive = {
+            m.instance: m.failure_domain
+            for m in members.values()
+            if m.state is MemberState.ALIVE
+        }
+        self._live_domains = alive
         self._gone_instances = frozenset(
             m.instance for m in members.values() if m.state is MemberState.GONE
         )
@@ -311,6 +374,22 @@
         for group in self._groups.values():
             self._set_targets(group)
 
+    def _set_rates(self, group: AdmissionGroup, now: float) -> None:
+        """Set the limited rates of a group's targets.
+
+        An owner that may be cut off from the others, or that stands in for an
+        unresponsive one, assigns each entry instance its even part only.
+        """
+        is_sole_owner = self._had_lease and group.name in self._owned_groups
+        rates = {
+            target: limit.rate
+            for target, limit in self._board.read(TARGET_LIMITS).items()
+            if limit.rate is not None
+            and self._group_of_target.get(target) == group.name
+        }
+        part = None if is_sole_owner else 1.0 / max(len(self._live_domains), 1)
+        group.set_rates(rates, part, now)
+
     def _set_targets(self, group: AdmissionGroup) -> None:
         targets = self._board.read(TARGETS)
         capacities = {
@@ -349,7 +428,3 @@
     for service, names in by_service.items():
         groups.update(group_targets(service, names))
     return groups
-
-
-def _to_actions(replies: tuple[AddressedReply, ...]) -> tuple[SendToPeer, ...]:
-    return tuple(SendToPeer(reply.instance, reply.reply) for reply in replies)
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -30,11 +30,14 @@
     LedgerEntry,
     LengthEstimator,
     QueuedItem,
+    RateUser,
     ReservedQuantile,
     TargetLossCounter,
 )
 
 _LOSSES_TO_QUARANTINE = 2
+#: Draws on the rates for all instances together.
+_WHOLE_RATE = RateUser("", 1.0)
 #: A length is predicted again after it has grown by one part in this number.
 _REPREDICTION_GROWTH_DIVISOR = 6
 
@@ -73,6 +76,9 @@
         self._losses = TargetLossCounter()
         self._quantile = ReservedQuantile(tuning, now)
         self._waits = WaitEstimator(tuning.rate_window)
+        #: Part of each limited rate for each entry instance; ``None`` if this owner
+        #: assigns the whole rates.
+        self._rate_part: float | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -107,6 +113,27 @@
         """Set the software versions of all targets, ``None`` for unknown ones."""
         self._targets.set_versions(versions)
 
+    def set_rates(
+        self, rates: Mapping[str, float], rate_part: float | None, now: float
+    ) -> None:
+        """Set the rates of the targets that limit their requests.
+
+        Parameters
+        ----------
+        rates : mapping of str to float
+            Requests a second from all instances together, by target.
+        rate_part : float or None
+            Part of the rates that each entry instance may use if another owner may
+            assign the same targets; ``None`` if there is no other owner.
+        now : float
+            Monotonic clock, seconds.
+        """
+        if (rate_part is None) != (self._rate_part is None):
+            # What other owners assigned meanwhile is not known.
+            self._targets.forget_rates()
+        self._rate_part = rate_part
+        self._targets.set_rates(rates, now)
+
     def request(
         self, request: ReservationRequest, instance: str, losses: int, now: float
     ) -> tuple[AddressedReply, ...]:
@@ -123,7 +150,8 @@
             reason = f"{losses} targets were lost to this request"
             return (self._refuse(request, instance, "quarantined", longest, reason),)
         queued = self._queue.remove(request.generation_id)
-        if request.preferred_target in self._targets.usable:
+        user = self._rate_user(instance)
+        if self._targets.accepts(request.preferred_target, user, now):
             waiting = WaitingRequest(request, instance, now, now, losses)
             return (self._place(waiting, request.preferred_target, now),)
         if queued is None and not request.is_running:
@@ -294,7 +322,7 @@
                 continue
             if waiting.request.is_running:
                 continue
-            if self._waits_for_memory(waiting.request, now):
+            if self._waits_for_memory(waiting, now):
                 self._last_memory_wait_at = now
             skipped += 1
             is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
@@ -338,7 +366,10 @@
             for queued in self._queue.ordered(now)
             if queued.priority >= request.priority and queued.objective_deadline >= now
         )
-        estimate = self._waits.estimate(ahead, now)
+        estimate = max(
+            self._waits.estimate(ahead, now),
+            self._targets.wait_for_rate(self._rate_user(instance), ahead, now),
+        )
         if len(self._queue) >= self._tuning.queue_limit:
             reason = f"{len(self._queue)} requests wait already"
             return self._refuse(request, instance, "queue_full", estimate, reason)
@@ -377,7 +408,8 @@
         best: tuple[float, str] | None = None
         compared = 0
         candidate = self._predict(request, 0)
-        for target in self._targets.order_candidates(request, now):
+        user = self._rate_user(waiting.instance)
+        for target in self._targets.order_candidates(request, user, now):
             score = self._targets.score(request, target, candidate)
             if score is None:
                 continue
@@ -408,7 +440,8 @@
         if waiting.losses and self._has_reservation(request.fingerprint):
             return (), None
         best: tuple[int, str, tuple[str, ...]] | None = None
-        for target in self._targets.list_candidates(request, now):
+        user = self._rate_user(waiting.instance)
+        for target in self._targets.list_candidates(request, user, now):
             dropped = self._select_backups_to_drop(request, target)
             if dropped and (best is None or (len(dropped), target) < best[:2]):
                 best = (len(dropped), target, dropped)
@@ -451,9 +484,17 @@
         dropped = ReservationCopyDropped(generation_id, held.backup)
         return AddressedReply(held.instance, dropped)
 
-    def _waits_for_memory(self, request: ReservationRequest, now: float) -> bool:
+    def _rate_user(self, instance: str) -> RateUser:
+        """Return who draws on the rates for the requests of an entry instance."""
+        if self._rate_part is None:
+            return _WHOLE_RATE
+        return RateUser(instance, self._rate_part)
+
+    def _waits_for_memory(self, waiting: WaitingRequest, now: float) -> bool:
         """Return whether a request waits for memory, not only for prefill."""
-        candidates = self._targets.list_candidates(request, now)
+        request = waiting.request
+        user = self._rate_user(waiting.instance)
+        candidates = self._targets.list_candidates(request, user, now)
         return any(self._targets.has_slot(request, target) for target in candidates)
 
     def _has_reservation(self, fingerprint: str) -> bool:
@@ -503,6 +544,7 @@
         self._store_reservation(
             request, waiting.instance, target, 0, now, backup=backup
         )
+        self._targets.spend(target, self._rate_user(waiting.instance), now)
         prefixes = self._targets.find_prefixes(target)
         if prefixes is not None:
             prefixes.record_sent(request.prefix)
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -7,12 +7,14 @@
 from heathertack.blackboard import (
     MEMBERS,
     TARGET_HEALTH,
+    TARGET_LIMITS,
     TARGETS,
     Blackboard,
     Section,
 )
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission import partition_targets
+from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._target_health import find_usable_targets
 from heathertack.messages import (
     MemberState,
@@ -29,7 +31,7 @@
     ReservationRequest,
     ReservationUnknown,
 )
-from heathertack.policy import choose_owner
+from heathertack.policy import RateUser, RequestRates, choose_owner
 
 _RESEND_INTERVAL_SECONDS = 0.3
 _QUEUED_RESEND_INTERVAL_SECONDS = 1.0
@@ -42,6 +44,8 @@
 #: the table of members sooner.
 _OWNER_AVOIDANCE_SECONDS = 3.0
 _LOCAL_FALLBACK_SECONDS = 1.2
+#: Maximum delay after which a refused caller is asked to return.
+_MAX_RETRY_SECONDS = 60.0
 _PROGRESS_INTERVAL_SECONDS = 1.0
 
 
@@ -86,6 +90,12 @@
     target: str
 
 
+class LimitObserved(NamedTuple):
+    """A target named a limit, or no longer names one."""
+
+    target: str
+
+
 class PlacementDue(NamedTuple):
     """The clock advanced."""
 
@@ -96,6 +106,7 @@
     | TokensGenerated
     | PlacementEnded
     | TargetLossReported
+    | LimitObserved
     | PlacementDue
 )
 
@@ -161,7 +172,12 @@
         Blackboard of the instance.
     """
 
-    READS: ClassVar[tuple[Section[Any], ...]] = (MEMBERS, TARGETS, TARGET_HEALTH)
+    READS: ClassVar[tuple[Section[Any], ...]] = (
+        MEMBERS,
+        TARGETS,
+        TARGET_HEALTH,
+        TARGET_LIMITS,
+    )
     WRITES: ClassVar[tuple[Section[Any], ...]] = ()
 
     def __init__(self, board: Blackboard) -> None:
@@ -170,6 +186,9 @@
         self._avoid_owner_until: dict[str, float] = {}
         self._next_progress = 0.0
         self._group_counter = 0
+        self._sharing = LimitSharing(board)
+        #: Rates of limited targets that this instance chooses without an owner.
+        self._rates = RequestRates()
         board.register(self)
 
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
@@ -198,6 +217,8 @@
                 return self._end(event)
             case TargetLossReported():
                 return self._report_target_loss(event, now)
+            case LimitObserved():
+                return self._report_limit(event.target, now)
             case PlacementDue():
                 return self._tick(now)
             case _:
@@ -219,7 +240,27 @@
             request, deadline, owner, now, now, now + _RESEND_INTERVAL_SECONDS
         )
         self._placements[request.generation_id] = placement
-        return (SendToPeer(owner, request),)
+        limits = self._share_limits(owner, request.group, now)
+        return (*limits, SendToPeer(owner, request))
+
+    def _share_limits(
+        self, owner: str, group: str, now: float
+    ) -> tuple[SendToPeer, ...]:
+        """Return what an owner has to know of limits before it chooses a target."""
+        if not self._board.read(TARGET_LIMITS):
+            return ()
+        groups = partition_targets(self._board.read(TARGETS))
+        return self._sharing.build(owner, groups.get(group, ()), now)
+
+    def _report_limit(self, target: str, now: float) -> tuple[SendToPeer, ...]:
+        """Tell the owner of a target its limit."""
+        owner = self._find_owner(self._find_group(target), now)
+        return self._sharing.build(owner, (target,), now) if owner is not None else ()
+
+    def _find_group(self, target: str) -> str:
+        """Return the group of a target, empty for none."""
+        groups = partition_targets(self._board.read(TARGETS))
+        return next((g for g, names in groups.items() if target in names), "")
 
     def _list_groups(self, request: ReservationRequest) -> list[str]:
         """Return the groups of a service, those with only excluded targets last."""
@@ -253,9 +294,18 @@
     ) -> tuple[Action, ...]:
         """Choose a target without an admission owner.
 
-        Returns the target with the fewest generations of this entry instance.
+        Returns the target with the fewest generations of this entry instance. Of a
+        limited rate, the instance uses its even part.
         """
         usable = find_usable_targets(self._board, request.service, now)
+        user = self._update_rates(now)
+        accepting = tuple(t for t in usable if self._rates.accepts(t.name, user, now))
+        if usable and not accepting:
+            wait = self._rates.wait((t.name for t in usable), user, 0, now)
+            reason = "the rates of all targets are used up"
+            retry_after = min(wait, _MAX_RETRY_SECONDS)
+            return (_build_denial(request, "overloaded", retry_after, reason),)
+        usable = accepting
         counts = {target.name: 0 for target in usable}
         for placement in self._placements.values():
             if placement.target in counts:
@@ -265,11 +315,21 @@
         if not names:
             return (_build_denial(request, "no_target", 1.0, "no target is live"),)
         target = min(names, key=lambda name: (counts[name], name))
+        self._rates.spend(target, user, now)
         self._placements[request.generation_id] = _Placement(
             request, now + request.max_wait, "", now, now, float("inf"), target
         )
         return (_build_choice(request, target, "no admission owner to ask"),)
 
+    def _update_rates(self, now: float) -> RateUser:
+        """Apply the known limits, and return the part of this instance."""
+        limits = self._board.read(TARGET_LIMITS)
+        rates = {t: limit.rate for t, limit in limits.items() if limit.rate is not None}
+        self._rates.set_rates(rates, now)
+        members = self._board.read(MEMBERS).values()
+        alive = sum(1 for m in members if m.state is MemberState.ALIVE)
+        return RateUser("", 1.0 / max(alive, 1))
+
     def _handle_reply(self, event: OwnerReplied, now: float) -> tuple[Action, ...]:
         reply = event.reply
         self._avoid_owner_until.pop(event.owner, None)
@@ -364,9 +424,7 @@
     def _report_target_loss(
         self, event: TargetLossReported, now: float
     ) -> tuple[Action, ...]:
-        groups = partition_targets(self._board.read(TARGETS))
-        found = next((g for g, names in groups.items() if event.target in names), "")
-        group = found or f"{event.request.service}:0"
+        group = self._find_group(event.target) or f"{event.request.service}:0"
         owner = self._find_owner(group, now)
         if owner is None:
             return ()
@@ -402,7 +460,8 @@
             next_send=now + _RESEND_INTERVAL_SECONDS, tried_owners=tried_owners
         )
         max_wait = max(placement.deadline - now, 0.0)
-        return (SendToPeer(owner, request._replace(max_wait=max_wait)),)
+        again = SendToPeer(owner, request._replace(max_wait=max_wait))
+        return (*self._share_limits(owner, request.group, now), again)
 
     def _announce_to_new_owners(self, now: float) -> tuple[Action, ...]:
         """Announce reservations in use to the new owners of their groups."""
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -10,6 +10,8 @@
     AdmissionTuning,
     LedgerEntry,
     PrefixIndex,
+    RateUser,
+    RequestRates,
     TargetLedger,
 )
 
@@ -34,6 +36,7 @@
         self._avoid_until: dict[str, float] = {}
         #: Endpoints of the KV cache transfers in progress, by generation.
         self._transfers: dict[str, frozenset[str]] = {}
+        self._rates = RequestRates()
 
     @property
     def usable(self) -> frozenset[str]:
@@ -63,6 +66,38 @@
         """Set the software versions of all targets, ``None`` for unknown ones."""
         self._versions = versions
 
+    def set_rates(self, rates: Mapping[str, float], now: float) -> None:
+        """Set the rates of the targets that limit their requests, requests a second."""
+        self._rates.set_rates(rates, now)
+
+    def forget_rates(self) -> None:
+        """Forget what the rates of the targets allow at present."""
+        self._rates = RequestRates()
+
+    def accepts(self, target: str, user: RateUser, now: float) -> bool:
+        """Return whether the rate of a usable target allows one more request."""
+        return target in self._usable and self._rates.accepts(target, user, now)
+
+    def spend(self, target: str, user: RateUser, now: float) -> None:
+        """Record that a request is sent to a target."""
+        self._rates.spend(target, user, now)
+
+    def wait_for_rate(self, user: RateUser, ahead: int, now: float) -> float:
+        """Return how long the rates of the targets delay a request, seconds.
+
+        Parameters
+        ----------
+        user : RateUser
+            Who sends the request.
+        ahead : int
+            Number of requests that are sent first.
+        now : float
+            Monotonic clock, seconds.
+        """
+        if not self._usable:
+            return 0.0
+        return self._rates.wait(self._usable, user, ahead, now)
+
     def find_ledger(self, target: str) -> TargetLedger | None:
         """Return the ledger of a target, ``None`` if the target is unknown."""
         return self._ledgers.get(target)
@@ -84,11 +119,12 @@
         self._transfers.pop(generation_id, None)
 
     def list_candidates(
-        self, request: ReservationRequest, now: float
+        self, request: ReservationRequest, user: RateUser, now: float
     ) -> tuple[str, ...]:
         """Return the targets that a request may go to.
 
         A running request moves with its KV cache, from the target that it excludes.
+        Targets whose rate is used up are left to later requests.
         """
         usable = tuple(t for t in self._usable if t not in request.excluded)
         if request.is_running:
@@ -99,10 +135,13 @@
             )
         if not usable and not request.is_running:
             usable = tuple(self._usable)
+        usable = tuple(t for t in usable if self._rates.accepts(t, user, now))
         preferred = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
         return preferred or usable
 
-    def order_candidates(self, request: ReservationRequest, now: float) -> list[str]:
+    def order_candidates(
+        self, request: ReservationRequest, user: RateUser, now: float
+    ) -> list[str]:
         """Order targets by cache use, less the prefill that a cached prefix saves."""
         weight = self._tuning.prefix_weight
 
@@ -112,7 +151,7 @@
             run_penalty = self._tuning.run_weight * ledger.count * ledger.capacity
             return (ledger.cached - weight * saved + run_penalty, target)
 
-        return sorted(self.list_candidates(request, now), key=rank)
+        return sorted(self.list_candidates(request, user, now), key=rank)
 
     def score(
         self, request: ReservationRequest, target: str, candidate: LedgerEntry
@@ -169,6 +208,8 @@
     def choose_backup_target(self, target: str, backup: LedgerEntry) -> str:
         """Return the target with the most room for a backup, empty if none has room.
 
+        A target with a limited rate might not accept the request that continues there.
+
         Parameters
         ----------
         target : str
@@ -179,7 +220,7 @@
         if self._run_load(backup) > self._tuning.backup_load_limit:
             return ""
         candidates: list[tuple[float, str]] = []
-        for other in self._usable - {target}:
+        for other in self._usable - self._rates.limited - {target}:
             if not self._can_copy(target, other):
                 continue
             ledger = self._ledgers[other]
--- a/packages/heathertack/src/heathertack/controllers/_target_limits.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_limits.py
@@ -11,7 +11,7 @@
     Section,
     TargetLimit,
 )
-from heathertack.messages import TargetState
+from heathertack.messages import TargetRates, TargetState
 
 #: Time after which what was last said of a limit is forgotten, seconds. A target that
 #: gets requests answers much sooner.
@@ -32,11 +32,17 @@
     sent_at: float
 
 
+class RatesReceived(NamedTuple):
+    """Another instance told the limits of targets."""
+
+    rates: TargetRates
+
+
 class LimitsDue(NamedTuple):
     """The clock advanced."""
 
 
-Event = TargetAnswered | LimitsDue
+Event = TargetAnswered | RatesReceived | LimitsDue
 
 
 class TargetLimitController:
@@ -78,6 +84,13 @@
             case TargetAnswered():
                 known_at = event.sent_at if event.rate is None else now
                 return self._merge({event.target: TargetLimit(event.rate, known_at)})
+            case RatesReceived():
+                return self._merge(
+                    {
+                        found.target: TargetLimit(found.rate, now - found.age)
+                        for found in event.rates.rates
+                    }
+                )
             case LimitsDue():
                 return self._forget(now)
             case _:
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -41,6 +41,7 @@
     TargetVersion,
     TargetVersions,
 )
+from heathertack.messages._target_limits import TargetRate, TargetRates
 
 __all__ = [
     "PEER_CODEC",
@@ -74,6 +75,8 @@
     "StreamOriginReply",
     "StreamOrigins",
     "TableVersion",
+    "TargetRate",
+    "TargetRates",
     "TargetRecord",
     "TargetReport",
     "TargetState",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -31,6 +31,7 @@
     StreamOrigins,
     TargetVersions,
 )
+from heathertack.messages._target_limits import TargetRates
 
 
 class MemberState(StrEnum):
@@ -219,6 +220,7 @@
     | StreamOrigins
     | StreamOriginQuery
     | StreamOriginReply
+    | TargetRates
 )
 
 #: Codec of the messages between instances.
@@ -250,5 +252,6 @@
         StreamOrigins,
         StreamOriginQuery,
         StreamOriginReply,
+        TargetRates,
     )
 )
--- /dev/null
+++ b/packages/heathertack/src/heathertack/messages/_target_limits.py
@@ -0,0 +1,25 @@
+"""Messages about the rates of requests that targets accept.
+
+They are messages of their own, and not fields of older ones, since an instance of an
+older build ignores messages of a type that it does not know.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class TargetRate(NamedTuple):
+    """Limit of one target."""
+
+    target: str
+    #: Requests a second from all instances together; ``None`` for no limit any more.
+    rate: float | None
+    #: Time since this was known to hold, seconds. Clocks of instances differ.
+    age: float
+
+
+class TargetRates(NamedTuple):
+    """Tells an instance the limits of targets."""
+
+    rates: tuple[TargetRate, ...]
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -9,7 +9,13 @@
 from heathertack.policy._ledger import LedgerEntry, TargetLedger, projected_peak
 from heathertack.policy._lengths import LengthEstimator
 from heathertack.policy._prefix_index import BLOCK_TOKENS, PrefixIndex, digest_prefixes
-from heathertack.policy._rendezvous import choose_owner, group_targets, rank_instances
+from heathertack.policy._rendezvous import (
+    choose_owner,
+    group_targets,
+    rank_instances,
+    rank_successors,
+)
+from heathertack.policy._request_rate import RateUser, RequestRates
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
 from heathertack.policy._target_loss_counter import TargetLossCounter
@@ -26,6 +32,8 @@
     "LostRun",
     "PrefixIndex",
     "QueuedItem",
+    "RateUser",
+    "RequestRates",
     "ReservedQuantile",
     "RetryBudget",
     "TargetLedger",
@@ -36,4 +44,5 @@
     "group_targets",
     "projected_peak",
     "rank_instances",
+    "rank_successors",
 ]
--- a/packages/heathertack/src/heathertack/policy/_rendezvous.py
+++ b/packages/heathertack/src/heathertack/policy/_rendezvous.py
@@ -10,6 +10,8 @@
 #: planned for two years has 60 engines; if the group size were at that number, the
 #: groups would change with each engine that joins.
 _TARGETS_PER_GROUP = 64
+#: Number of instances that are kept ready to own a group.
+_SUCCESSORS = 3
 
 
 def choose_owner(group: str, instances: Iterable[str]) -> str | None:
@@ -37,6 +39,27 @@
     return (*first, *(name for name in ordered if name not in first))
 
 
+def rank_successors(group: str, domains: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the instances that own a group after the loss of others.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    domains : mapping of str to str
+        Failure domain of each live instance.
+
+    Returns
+    -------
+    tuple of str
+        The owner, those that follow when single instances are lost, and the best of
+        the other domains, which follow when a whole domain is lost.
+    """
+    ranked = sorted(domains, key=lambda name: _hash_weight(group, name), reverse=True)
+    of_domains = rank_instances(group, domains)[:_SUCCESSORS]
+    return tuple(dict.fromkeys((*ranked[:_SUCCESSORS], *of_domains)))
+
+
 def group_targets(service: str, targets: Iterable[str]) -> dict[str, tuple[str, ...]]:
     """Divide the targets of a service into groups.
 
--- a/packages/heathertack/src/heathertack/policy/_request_rate.py
+++ b/packages/heathertack/src/heathertack/policy/_request_rate.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-#: Requests that may be sent at once after a pause: as many as the rate allows in this
-#: time, seconds, but at least one.
-_BURST_SECONDS = 1.0
+#: Requests that may be sent at once after a pause: one, and as many as the rate allows
+#: in this time, seconds. Longer than the interval at which queues are served.
+_BURST_SECONDS = 0.25
 #: Rate at which requests go to a target that accepts fewer, requests a second: only an
 #: answer can tell that the limit has ended.
 _MIN_RATE = 0.1
@@ -54,8 +54,11 @@
         now : float
             Monotonic clock, seconds.
         """
-        self._fill(now)
-        self._rates = {name: max(rate, _MIN_RATE) for name, rate in rates.items()}
+        usable_rates = {name: max(rate, _MIN_RATE) for name, rate in rates.items()}
+        for target, rate in self._rates.items():
+            if usable_rates.get(target, rate) != rate:
+                self._stop_filling(target, now)
+        self._rates = usable_rates
         self._buckets = {name: self._buckets.get(name, {}) for name in rates}
 
     def accepts(self, target: str, user: RateUser, now: float) -> bool:
@@ -106,14 +109,14 @@
         buckets = self._buckets[target]
         bucket = buckets.get(user.name, _Bucket(0.0, now))
         rate = self._rates[target] * user.part
-        most = max(rate * _BURST_SECONDS, 1.0)
+        most = 1.0 + rate * _BURST_SECONDS
         elapsed = max(now - bucket.filled_at, 0.0)
         tokens = min(bucket.tokens + elapsed * rate, most)
         buckets[user.name] = _Bucket(tokens, now)
         return tokens
 
-    def _fill(self, now: float) -> None:
-        """Stop the buckets at the current rates, before these change."""
-        for buckets in self._buckets.values():
-            for name, bucket in buckets.items():
-                buckets[name] = bucket._replace(filled_at=max(bucket.filled_at, now))
+    def _stop_filling(self, target: str, now: float) -> None:
+        """Add no tokens for the time before a target's rate changed."""
+        buckets = self._buckets[target]
+        for name, bucket in buckets.items():
+            buckets[name] = bucket._replace(filled_at=max(bucket.filled_at, now))
--- a/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
+++ b/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
@@ -30,7 +30,14 @@
     Membership,
     Snapshot,
 )
-from heathertack.messages import PEER_CODEC, MessageCodec, PeerMessage
+from heathertack.messages import (
+    PEER_CODEC,
+    MessageCodec,
+    PeerMessage,
+    TargetRate,
+    TargetRates,
+    TargetVersions,
+)
 from heathertack.state import (
     COMMAND_CODEC,
     RESULT_CODEC,
@@ -122,6 +129,12 @@
         assert type(decoded).__name__ == message["type"]
         assert CODECS[codec].encode(decoded) == data
 
+    # Guards against a message of a new build that ends the connection of an old one.
+    def test_older_build_ignores_the_limits_of_targets(self) -> None:
+        data = PEER_CODEC.encode(TargetRates((TargetRate("i-7f3a91c2", 2.7, 0.125),)))
+        older = MessageCodec[Any]((TargetVersions,))
+        assert "TargetRates" in older.decode(data).failure().detail
+
     @pytest.mark.parametrize("codec", CODECS)
     def test_encodes_exactly_the_recorded_types(self, codec: str) -> None:
         recorded = {message["type"] for message in RECORDED[codec]}
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -47,6 +47,7 @@
     LeaseHolderController,
     LeaseRequested,
     LeaseTimings,
+    LimitObserved,
     LimitsDue,
     OriginDetermined,
     OriginNeeded,
@@ -62,6 +63,7 @@
     ProposeCommand,
     QuarantineController,
     QuarantineDue,
+    RatesReceived,
     ReleaseReceived,
     ReplyToCommand,
     ReportedStateChanged,
@@ -101,6 +103,7 @@
     StreamOriginQuery,
     StreamOriginReply,
     StreamOrigins,
+    TargetRates,
     TargetReport,
     TargetVersions,
 )
@@ -275,6 +278,9 @@
                 self.control.receive(message)
             case StreamOrigins() | StreamOriginQuery() | StreamOriginReply():
                 self._handle_origin_message(sender, message, now)
+            case TargetRates():
+                received = RatesReceived(message)
+                self._log_limits(self.limits.handle(received, now), sender)
             case _:
                 self._handle_reservation_message(sender, message, now)
 
@@ -305,7 +311,12 @@
 
     def record_target_answer(self, answer: TargetAnswered) -> None:
         """Record what the answer of a target says of its limit."""
-        self._log_limits(self.limits.handle(answer, _clock.monotonic()), "answer")
+        now = _clock.monotonic()
+        is_limited = answer.target in self.board.read(TARGET_LIMITS)
+        self._log_limits(self.limits.handle(answer, now), "answer")
+        if is_limited or answer.rate is not None:
+            observed = LimitObserved(answer.target)
+            self._carry_out(self.placement.handle(observed, now))
 
     def announce_leaving(self) -> None:
         """Report to the leader at once that callers must use other instances."""
@@ -392,7 +403,7 @@
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
     def _log_limits(self, targets: Iterable[str], source: str) -> None:
-        """Log the rates of targets whose limits have changed."""
+        """Log the rates of targets whose limits have changed, and who told them."""
         limits = self.board.read(TARGET_LIMITS)
         now = _clock.monotonic()
         for target in targets:
