Divide the retry allowance by the instances known now, not at the first request

Found while looking for the cause of the exceeded rates elsewhere: the even share of the retries was computed once, from the members known at the first request of a service. After a start or a new leader these may be one or three of twelve, and each instance kept a share of 32 or 10 retries instead of 2.7.

--- a/packages/heathertack/src/heathertack/policy/_retry_budget.py
+++ b/packages/heathertack/src/heathertack/policy/_retry_budget.py
@@ -19,6 +19,11 @@
         self._reserve = reserve
         self._tokens = reserve
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change how many retries can accumulate; a surplus is lost."""
+        self._reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
     def record_success(self) -> None:
         """Add the ratio of one success to the budget."""
         self._tokens = min(self._reserve, self._tokens + self._ratio)
--- a/packages/heathertackd/src/heathertackd/forwarding/_retry_limits.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_retry_limits.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from heathertack.blackboard import MEMBERS, Blackboard
-from heathertack.messages import MemberState
+from heathertack.messages import MemberRecord, MemberState
 from heathertack.policy import RetryBudget
 from heathertackd._retry_allowance import RetryAllowance
 
+#: Number of retries that every instance may accumulate.
+_MIN_RESERVE = 1.0
+
 
 class RetryLimits:
     """Retry budgets of one instance, one for each service.
@@ -26,6 +31,8 @@
         self._board = board
         self._allowance = allowance
         self._budgets: dict[str, RetryBudget] = {}
+        self._last_members: Mapping[str, MemberRecord] | None = None
+        self._reserve = _MIN_RESERVE
 
     def record_request(self, service: str) -> None:
         """Count a request that is forwarded for the first time."""
@@ -36,11 +43,21 @@
         return self._budget(service).try_spend()
 
     def _budget(self, service: str) -> RetryBudget:
+        self._apply_member_changes()
         budget = self._budgets.get(service)
         if budget is None:
-            members = self._board.read(MEMBERS).values()
-            live_count = sum(1 for m in members if m.state is not MemberState.GONE)
-            reserve = max(self._allowance.reserve / (2 * max(live_count, 1)), 1.0)
-            budget = RetryBudget(self._allowance.ratio / 2, reserve)
+            budget = RetryBudget(self._allowance.ratio / 2, self._reserve)
             self._budgets[service] = budget
         return budget
+
+    def _apply_member_changes(self) -> None:
+        """Divide the reserve anew if the table of members has changed."""
+        members = self._board.read(MEMBERS)
+        if members is self._last_members:
+            return
+        self._last_members = members
+        live_count = sum(m.state is not MemberState.GONE for m in members.values())
+        share = self._allowance.reserve / (2 * max(live_count, 1))
+        self._reserve = max(share, _MIN_RESERVE)
+        for budget in self._budgets.values():
+            budget.set_reserve(self._reserve)
