--- a/packages/heathertackd/src/heathertackd/forwarding/__init__.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/__init__.py
@@ -16,6 +16,7 @@
 from heathertackd.forwarding._hop_headers import copy_end_to_end
 from heathertackd.forwarding._kv_cache import KvCacheMover, MoveFailure
 from heathertackd.forwarding._standard_dialect import StandardDialect
+from heathertackd.forwarding._transmissions import prevent_resending
 
 __all__ = [
     "ForwardAttempt",
@@ -32,6 +33,7 @@
     "StandardDialect",
     "copy_end_to_end",
     "open_forwarding_session",
+    "prevent_resending",
     "read_body",
     "read_request_rate",
 ]
