Guard both clients of targets against resending with one middleware

A repeatable GET, PUT or DELETE ran twice at a target that closed the connection, uncounted by the retry budget; if the second connection was refused, the caller was told "not run". Both kinds of calls, and forwarded requests, now use prevent_resending. test_plain_client.py without the guard: GET, PUT and DELETE run twice; now once.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -39,6 +39,7 @@
 from heathertackd import _clock
 from heathertackd._instance import Instance
 from heathertackd._refusals import not_run, refusal_response
+from heathertackd._transmissions import prevent_resending
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
 _CLAIM_TIMEOUT_SECONDS = 3.0
@@ -70,24 +71,6 @@
         return hashlib.sha256(text + self.body).hexdigest()
 
 
-class _SendOnce:
-    """Client middleware that prevents aiohttp from resending a request.
-
-    aiohttp retries PUT, DELETE and GET by itself when a connection breaks.
-    """
-
-    def __init__(self) -> None:
-        self._is_sent = False
-
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        if self._is_sent:
-            raise aiohttp.ClientConnectionError("the connection broke")
-        self._is_sent = True
-        return await handler(request)
-
-
 class PlainClient:
     """Sends calls to plain services.
 
@@ -103,21 +86,7 @@
     async def send(
         self, target: TargetRecord, spec: CallSpec
     ) -> TargetResponded | TargetUnreachable | ResponseLost:
-        """Send a call that may be repeated and return its result."""
-        return await self._send(target, spec, ())
-
-    async def send_once(
-        self, target: TargetRecord, spec: CallSpec
-    ) -> TargetResponded | TargetUnreachable | ResponseLost:
-        """Send a call that must not run twice and return its result."""
-        return await self._send(target, spec, (_SendOnce(),))
-
-    async def _send(
-        self,
-        target: TargetRecord,
-        spec: CallSpec,
-        middlewares: tuple[_SendOnce, ...],
-    ) -> TargetResponded | TargetUnreachable | ResponseLost:
+        """Send a call on one connection and return its result."""
         timeout = aiohttp.ClientTimeout(
             total=spec.timeout, sock_connect=_CONNECT_TIMEOUT_SECONDS
         )
@@ -132,7 +101,7 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
-                middlewares=middlewares,
+                middlewares=(prevent_resending,),
             ) as response:
                 body = await response.content.read(_MAX_RESPONSE_BYTES + 1)
                 if len(body) > _MAX_RESPONSE_BYTES:
@@ -272,7 +241,7 @@
         target = rotation.take()
         if target is None:
             return TargetUnreachable(has_alternative=False)
-        result = await self._client.send_once(target, spec)
+        result = await self._client.send(target, spec)
         if isinstance(result, TargetUnreachable):
             self._record_failure(target)
             return TargetUnreachable(has_alternative=rotation.has_more)
--- a/packages/heathertackd/src/heathertackd/forwarding/__init__.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwards requests unchanged to the targets of the routes in the bundle."""
 
 from heathertackd._refusals import RefusedError
+from heathertackd._transmissions import prevent_resending
 from heathertackd.forwarding._bodies import read_body
 from heathertackd.forwarding._dialect import (
     ForwardAttempt,
@@ -16,7 +17,6 @@
 from heathertackd.forwarding._hop_headers import copy_end_to_end
 from heathertackd.forwarding._kv_cache import KvCacheMover, MoveFailure
 from heathertackd.forwarding._standard_dialect import StandardDialect
-from heathertackd.forwarding._transmissions import prevent_resending
 
 __all__ = [
     "ForwardAttempt",
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -20,6 +20,10 @@
 from heathertackd._instance import Instance
 from heathertackd._refusals import RefusedError, not_run
 from heathertackd._sockets import open_target_socket
+from heathertackd._transmissions import (
+    prevent_resending,
+    trace_transmissions,
+)
 from heathertackd.forwarding._bodies import read_body
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import ForwardingDialect, RequestHead
@@ -35,10 +39,6 @@
 from heathertackd.forwarding._stream_monitor import StreamMonitor
 from heathertackd.forwarding._target_answers import TargetAnswers
 from heathertackd.forwarding._target_client import TargetClient
-from heathertackd.forwarding._transmissions import (
-    prevent_resending,
-    trace_transmissions,
-)
 
 #: Retry delay sent to callers while the bundle can't be confirmed, seconds; most
 #: leases are renewed within it.
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -14,8 +14,8 @@
 
 from heathertackd import _clock
 from heathertackd._response_bodies import ResponseMemory
+from heathertackd._transmissions import TransmissionCount
 from heathertackd.forwarding._dialect import ForwardingDialect, ResponseHead
-from heathertackd.forwarding._transmissions import TransmissionCount
 
 #: Timeout for connecting; a target that exceeds it counts as unreachable.
 _CONNECT_TIMEOUT_SECONDS = 1.0
--- a/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
@@ -37,14 +37,14 @@
         port = server.sockets[0].getsockname()[1]
         async with aiohttp.ClientSession() as session:
             client = PlainClient(session)
-            result = await client.send_once(build_target(port), build_call(method))
+            result = await client.send(build_target(port), build_call(method))
         server.close()
         assert isinstance(result, ResponseLost)
         assert runs == 1
 
     async def test_refused_connection_did_not_run(self) -> None:
         async with aiohttp.ClientSession() as session:
-            result = await PlainClient(session).send_once(
+            result = await PlainClient(session).send(
                 build_target(1), build_call("POST")
             )
         assert isinstance(result, TargetUnreachable)
