Take test ports outside the range of outgoing connections

Found once, beside three other suites: test_one_key_at_three_instances_at_once failed since no process accepted connections on port 34015. Ports came from the range of outgoing connections, so that one could be taken between the choice and the start of a process, or while a process is restarted.

wait_for_engine now fails with what became of the caller, instead of after 30 s.

--- a/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import secrets
 import signal
 import socket
 import subprocess
@@ -25,6 +26,8 @@
 _START_TIMEOUT_SECONDS = 30.0
 _STOP_TIMEOUT_SECONDS = 20.0
 _POLL_INTERVAL_SECONDS = 0.05
+#: Below the first port of outgoing connections, 32768 by default.
+_LISTENING_PORTS = range(12000, 32000)
 
 
 class SystemShape(NamedTuple):
@@ -50,16 +53,26 @@
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are currently unused.
 
-    All ports are bound before any is released, so that they are distinct.
+    They are drawn at random below the ports that the system gives to outgoing
+    connections. One of those could be taken between this call and the start of a
+    process, or while a process is restarted.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    found: list[int] = []
+    source = secrets.SystemRandom()
+    while len(found) < count:
+        port = source.choice(_LISTENING_PORTS)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def build_bundle(version: int, **services: dict[str, Any]) -> dict[str, Any]:
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -52,12 +52,19 @@
         assert response.status == 200
 
 
-async def wait_for_engine(session: aiohttp.ClientSession, system: LocalSystem) -> int:
-    """Wait for the only generation to start; return the number of its engine."""
+async def wait_for_engine(
+    session: aiohttp.ClientSession, system: LocalSystem, caller: asyncio.Task[Any]
+) -> int:
+    """Wait for the only generation to start; return the number of its engine.
+
+    Fails at once with the error of the caller if that has ended before.
+    """
     for _ in range(int(WAIT_TIMEOUT_SECONDS / 0.05)):
         for number, port in enumerate(system.engine_ports):
             if (await fetch(session, port, "/seen"))["generations"]:
                 return number
+        if caller.done():
+            raise AssertionError(f"the caller has ended: {caller.result()!r}")
         await asyncio.sleep(0.05)
     raise AssertionError("no engine received the generation")
 
@@ -137,7 +144,7 @@
                         return await answer.text()
 
                 task = asyncio.create_task(ask())
-                number = await wait_for_engine(session, system)
+                number = await wait_for_engine(session, system, task)
                 system.send_signal(f"engine-{number + 1}", signal.SIGKILL)
                 text = await task
                 assert "t0 " in text
@@ -157,7 +164,7 @@
                 task = asyncio.create_task(
                     stream_chat(session, entry_address(system), CALLER_KEY, prompt)
                 )
-                number = await wait_for_engine(session, system)
+                number = await wait_for_engine(session, system, task)
                 await asyncio.sleep(0.5)
                 system.send_signal(f"engine-{number + 1}", signal.SIGKILL)
                 answer = await task
@@ -210,7 +217,7 @@
                         session, entry_address(system), CALLER_KEY, "[[length=900]]"
                     )
                 )
-                await wait_for_engine(session, system)
+                await wait_for_engine(session, system, task)
                 await asyncio.sleep(0.3)
                 task.cancel()
                 for _ in range(int(WAIT_TIMEOUT_SECONDS / 0.1)):
@@ -591,7 +598,7 @@
                 task = asyncio.create_task(
                     stream_chat(session, address, CALLER_KEY, "[[length=2000]]")
                 )
-                number = await wait_for_engine(session, system)
+                number = await wait_for_engine(session, system, task)
                 listed = system.list_targets()
                 listed[number]["state"] = "leaving"
                 document = {"instances": listed}
