--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission_rates.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission_rates.py
@@ -45,6 +45,8 @@
     def test_owner_begins_without_tokens_after_others(self) -> None:
         group = build_group()
         group.set_rates({"t": RATE}, None, 0.0)
+        assert count_grants(group, 3, 0.0) == 0
+        assert count_grants(group, 3, 4.0) == 1
         group.set_rates({"t": RATE}, 0.1, 5.0)
         group.set_rates({"t": RATE}, None, 9.0)
         assert count_grants(group, 3, 9.0) == 0
