Let calls to engines pass the trace that counts transmissions

Cause: added a trace to the session of forwarded requests. It reads the count from the context of the request. Reports, moves and deletions of copies use the same session without such a context, so each ended with AttributeError, which nobody expects: the task that polls engines ended at its first call, and each move failed.

Fix: requests without a count are not counted.

--- a/packages/heathertackd/src/heathertackd/_transmissions.py
+++ b/packages/heathertackd/src/heathertackd/_transmissions.py
@@ -28,7 +28,10 @@
 
 
 def trace_transmissions() -> aiohttp.TraceConfig:
-    """Return a trace that counts into the ``trace_request_ctx`` of a request."""
+    """Return a trace that counts into the ``trace_request_ctx`` of a request.
+
+    Requests without one are not counted.
+    """
     trace: aiohttp.TraceConfig = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_count)
     return trace
@@ -40,8 +43,9 @@
     params: aiohttp.TraceRequestHeadersSentParams,
 ) -> None:
     del session, params
-    transmissions: TransmissionCount = context.trace_request_ctx
-    transmissions.increment()
+    transmissions: TransmissionCount | None = context.trace_request_ctx
+    if transmissions is not None:
+        transmissions.increment()
 
 
 async def prevent_resending(
