--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_transmissions.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_transmissions.py
@@ -1,5 +1,6 @@
 import pytest
 
+from heathertackd.forwarding import open_forwarding_session
 from heathertackd.forwarding.tests.forwarding_system import (
     Script,
     close_connection,
@@ -62,3 +63,14 @@
                 assert got.status == 200
                 await got.read()
             assert system.count_received() == 1
+
+    # Guards against calls to targets that fail because nothing counts them.
+    async def test_requests_that_are_not_counted_are_sent(self) -> None:
+        async with run_system(route("idempotent"), respond(b"done")) as system:
+            url = f"http://{system.addresses[0]}/report"
+            headers = {"X-Request-Id": "r1"}
+            async with (
+                open_forwarding_session() as session,
+                session.get(url, headers=headers) as got,
+            ):
+                assert got.status == 200
