--- a/packages/heathertack/src/heathertack/controllers/_target_limits.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_limits.py
@@ -63,6 +63,8 @@
 
     def __init__(self, board: Blackboard) -> None:
         self._board = board
+        #: Limited targets that have been in the table of targets.
+        self._listed: frozenset[str] = frozenset()
         board.register(self)
 
     def handle(self, event: Event, now: float) -> tuple[str, ...]:
@@ -80,6 +82,16 @@
         tuple of str
             Targets whose rate has changed.
         """
+        changed = self._apply(event, now)
+        targets = self._board.read(TARGETS)
+        self._listed = frozenset(
+            target
+            for target in self._board.read(TARGET_LIMITS)
+            if target in targets or target in self._listed
+        )
+        return changed
+
+    def _apply(self, event: Event, now: float) -> tuple[str, ...]:
         match event:
             case TargetAnswered():
                 known_at = event.sent_at if event.rate is None else now
@@ -120,23 +132,28 @@
         )
 
     def _forget(self, now: float) -> tuple[str, ...]:
-        """Remove the limits of targets that are gone, and those that are too old."""
+        """Remove the limits of targets that are gone, and those that are too old.
+
+        An instance that has just started may be told limits before it knows targets.
+        """
         known = self._board.read(TARGET_LIMITS)
-        if not known:
-            return ()
-        targets = self._board.read(TARGETS)
         kept = {
             target: limit
             for target, limit in known.items()
-            if now - limit.known_at < _RETENTION_SECONDS
-            and target in targets
-            and targets[target].state is not TargetState.GONE
+            if now - limit.known_at < _RETENTION_SECONDS and not self._is_gone(target)
         }
         if len(kept) == len(known):
             return ()
         self._board.write(self, TARGET_LIMITS, kept)
         return tuple(t for t in known if t not in kept and known[t].rate is not None)
 
+    def _is_gone(self, target: str) -> bool:
+        """Return whether a target has left the table of targets."""
+        record = self._board.read(TARGETS).get(target)
+        if record is None:
+            return target in self._listed
+        return record.state is TargetState.GONE
+
 
 def _is_newer(limit: TargetLimit, known: TargetLimit | None) -> bool:
     """Return whether a limit replaces what is known of the same target."""
--- a/packages/heathertack/src/heathertack/controllers/tests/limit_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/limit_simulation.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 from collections.abc import Callable, Mapping
+from functools import partial
 from itertools import count
 from typing import Any, ClassVar, NamedTuple
 
@@ -57,6 +58,8 @@
 #: Time after which the others notice that an instance is gone or is back, seconds.
 NOTICE_SECONDS = 0.4
 DOWN_SECONDS = 1.0
+#: Duration of a restart that the others do not notice, seconds.
+UNNOTICED_DOWN_SECONDS = 0.5
 #: Bounds of the users: within each window, this many times what a rate allows and a
 #: few more, from a settling time after the limit was first named.
 SETTLING_SECONDS = 3.0
@@ -82,6 +85,10 @@
     run_seconds: float = 0.05
     #: Times at which the owner of the targets is killed.
     kills: tuple[float, ...] = ()
+    #: Time from the restart of an instance until it gets tables and a lease, seconds.
+    #: If it is positive, the others do not notice the restart, and what they send
+    #: meanwhile arrives after it.
+    table_delay: float = 0.0
     #: Time at which all instances are killed; negative for never.
     kill_all_at: float = -1.0
     #: Time at which the owner and all instances that are kept ready to follow it are
@@ -280,14 +287,20 @@
 
     def _kill(self, names: list[str]) -> None:
         self.down.update(names)
-        self._at(self.now + NOTICE_SECONDS, self._inform_all)
-        self._at(self.now + DOWN_SECONDS, lambda: self._restart(names))
+        if not self.world.table_delay:
+            self._at(self.now + NOTICE_SECONDS, self._inform_all)
+        down = UNNOTICED_DOWN_SECONDS if self.world.table_delay else DOWN_SECONDS
+        self._at(self.now + down, lambda: self._restart(names))
 
     def _restart(self, names: list[str]) -> None:
         for name in names:
             self.nodes[name] = Node(name, self.nodes[name].incarnation + 1)
         self.down.difference_update(names)
-        self._inform_all()
+        if not self.world.table_delay:
+            self._inform_all()
+            return
+        for name in names:
+            self._at(self.now + self.world.table_delay, partial(self._inform, name))
 
     def _arrive(self) -> None:
         world = self.world
@@ -336,6 +349,9 @@
         self.messages += isinstance(action.message, TargetRates)
 
         def arrive() -> None:
+            if receiver in self.down and self.world.table_delay:
+                self._at(self.now + UNNOTICED_DOWN_SECONDS, arrive)
+                return
             if receiver in self.down or self._side(sender) != self._side(receiver):
                 return
             node = self.nodes[receiver]
--- a/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
@@ -61,6 +61,26 @@
             assert not simulation.find_excess()
             assert simulation.used(4.0, 20.0) >= MIN_USED - unused
 
+    # Guards against an owner that restarts unnoticed and forgets what it is told of the
+    # limits before it knows the targets.
+    @pytest.mark.parametrize("table_delay", [0.2, 0.7, 1.5])
+    @pytest.mark.parametrize("instances", [4, 12, 63])
+    def test_rates_are_kept_by_an_owner_that_restarts(
+        self, instances: int, table_delay: float
+    ) -> None:
+        world = World(
+            instances,
+            (1.0, 1.5),
+            demand=60.0,
+            skew=0.7,
+            kills=(5.0, 10.0),
+            table_delay=table_delay,
+        )
+        for seed in seeds(instances):
+            simulation = simulate(world, seed)
+            assert not simulation.find_excess()
+            assert simulation.used(4.0, 20.0) >= MIN_USED - 0.3
+
     # Guards against an owner to which none of the earlier ones told the limits: most
     # instances have never used a limited target.
     def test_rates_are_kept_by_an_owner_that_nobody_informed(self) -> None:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_target_limits.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_target_limits.py
@@ -3,8 +3,13 @@
 import pytest
 
 from heathertack.blackboard import TARGET_LIMITS, TARGETS, Blackboard, Section
-from heathertack.controllers import LimitsDue, TargetAnswered, TargetLimitController
-from heathertack.messages import TargetRecord, TargetState
+from heathertack.controllers import (
+    LimitsDue,
+    RatesReceived,
+    TargetAnswered,
+    TargetLimitController,
+)
+from heathertack.messages import TargetRate, TargetRates, TargetRecord, TargetState
 
 MANY = 3000
 
@@ -72,6 +77,20 @@
         assert system.limits.handle(LimitsDue(), 1.0) == ("t0",)
         assert not system.board.read(TARGET_LIMITS)
 
+    # Guards against an instance that forgets what it is told right after its start,
+    # before it knows any target, and then assigns requests without a limit.
+    def test_limits_of_targets_that_are_not_listed_yet_are_kept(self) -> None:
+        system = LimitSystem(0)
+        told = TargetRates((TargetRate("t0", 2.0, 1.0),))
+        system.limits.handle(RatesReceived(told), 5.0)
+        assert system.limits.handle(LimitsDue(), 5.1) == ()
+        assert system.rate() == 2.0
+        system.set_targets(1)
+        assert system.limits.handle(LimitsDue(), 5.2) == ()
+        assert system.rate() == 2.0
+        system.set_targets(0)
+        assert system.limits.handle(LimitsDue(), 5.3) == ("t0",)
+
     def test_unused_limits_expire(self) -> None:
         system = LimitSystem()
         system.limits.handle(TargetAnswered("t0", 2.0, 0.0), 0.1)
