Log the exceptions that end background tasks

Class of fault: a task that nobody awaits ends with an exception that nobody sees.

Each task that is started and not awaited (periodic work, receiving, commits, reports of losses, moves, deletions of copies) now logs background_task_failed with the task, the exception and where it was raised.

--- a/packages/heathertackd/src/heathertackd/_command_queue.py
+++ b/packages/heathertackd/src/heathertackd/_command_queue.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from heathertack.state import Command
+from heathertackd._background_tasks import start_background_task
 from heathertackd._control_client import ControlClient
 from heathertackd._logs import Logger
 
@@ -38,7 +39,7 @@
         if len(self._tasks) >= _MAX_COMMANDS:
             self._logger.warning("command_dropped", command=repr(command))
             return
-        task = asyncio.create_task(self._commit(command))
+        task = start_background_task(self._commit(command), self._logger)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -28,6 +28,7 @@
     open_storage,
 )
 from heathertackd import _clock
+from heathertackd._background_tasks import start_background_task
 from heathertackd._control_log_runner import ControlLogRunner
 from heathertackd._disk import FolderDisk
 from heathertackd._frontend import Frontend, FrontendFactory
@@ -242,7 +243,7 @@
             raise StartError(f"settings: $.peer: {error}") from error
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        self._tasks.append(start_background_task(coroutine, self._logger))
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -111,6 +111,7 @@
 from heathertack.settings import Settings
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
+from heathertackd._background_tasks import start_background_task
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
@@ -231,7 +232,7 @@
             if self.control_log.bundle is not None:
                 self._carry_out((AnnounceBundle(self.control_log.bundle),))
             self.control_log.start(self._carry_out)
-        self._task = asyncio.create_task(self._run_ticks())
+        self._task = start_background_task(self._run_ticks(), self.logger)
 
     async def stop(self) -> None:
         """Stop the periodic work and close the connections to other instances."""
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -13,6 +13,7 @@
 
 from heathertack.messages import PEER_CODEC, PeerMessage
 from heathertack.settings import Settings
+from heathertackd._background_tasks import start_background_task
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 
@@ -163,7 +164,7 @@
             message = f"can't listen on {endpoint}: {error}"
             raise PeerNetworkError(message) from error
         self._listener = listener
-        self._task = asyncio.create_task(self._receive_all(listener))
+        self._task = start_background_task(self._receive_all(listener), self._logger)
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -29,6 +29,7 @@
 )
 from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
 from heathertackd import _clock
+from heathertackd._background_tasks import start_background_task
 from heathertackd._refusals import not_run
 from heathertackd.forwarding._caller_events import CallerEvents
 from heathertackd.forwarding._context import ForwardingContext
@@ -629,8 +630,9 @@
         if may_have_run and is_live and record is not None:
             self._break_count += 1
             has_started = self._stream.count >= _MIN_STARTED_EVENTS
-            report = asyncio.create_task(
-                self._report_target_loss(record, self._attempt, has_started)
+            report = start_background_task(
+                self._report_target_loss(record, self._attempt, has_started),
+                self._instance.logger,
             )
             _BACKGROUND_TASKS.add(report)
             report.add_done_callback(_BACKGROUND_TASKS.discard)
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -22,6 +22,7 @@
     TargetState,
 )
 from heathertackd import _clock
+from heathertackd._background_tasks import start_background_task
 from heathertackd._instance import Instance
 from heathertackd.forwarding._kv_cache import Continuation, KvCacheMover, MoveFailure
 
@@ -77,7 +78,9 @@
     def start(self, placement: TargetChosen, reservation: ReservationRequest) -> None:
         """Start moving a run to the placement that a reservation requests."""
         self._next_start_at = _clock.monotonic() + _RETRY_SECONDS
-        self._task = asyncio.create_task(self._move(placement, reservation))
+        self._task = start_background_task(
+            self._move(placement, reservation), self._instance.logger
+        )
 
     def cancel(self) -> None:
         """Cancel a move in progress."""
@@ -107,7 +110,7 @@
 
     def discard_backup(self, backup: str) -> None:
         """Free the backup of the run that a target keeps."""
-        task = asyncio.create_task(self._discard(backup))
+        task = start_background_task(self._discard(backup), self._instance.logger)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
