Ask the other groups of a service before refusing a request

What callers saw: at a service of more than 64 targets, which has several groups, a request was refused (or waited until its deadline) because all targets of the group that it was assigned to were limited or full, while targets of another group were free.

Cause: an entry instance asked one group, by turns, and took its refusal for final.

Now it asks the groups that have not refused yet, with what is left of the wait, and passes on the shortest delay for a retry. Refusals of requests that crash targets stay final. An owner that repeats the refusal of an earlier group is ignored, and the release of a reservation names the group that granted it.

Services of up to 64 targets have one group, so nothing changes for them.

--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -47,6 +47,8 @@
 #: Maximum delay after which a refused caller is asked to return.
 _MAX_RETRY_SECONDS = 60.0
 _PROGRESS_INTERVAL_SECONDS = 1.0
+#: Refusals that say nothing of the other groups of the service.
+_GROUP_REFUSALS = frozenset({"overloaded", "queue_full"})
 
 
 class PlacementRequested(NamedTuple):
@@ -161,6 +163,10 @@
     backup: str = ""
     #: Owners that were asked since the latest reply.
     tried_owners: frozenset[str] = frozenset()
+    #: Groups that refused the request.
+    refused_groups: frozenset[str] = frozenset()
+    #: Shortest delay for a retry that a group named, seconds.
+    retry_after: float = float("inf")
 
 
 class PlacementController:
@@ -345,7 +351,9 @@
             return _release_unused_grant(event) if is_other else ()
         match reply:
             case ReservationGrant():
+                group = reply.group or placement.request.group
                 self._placements[reply.generation_id] = placement._replace(
+                    request=placement.request._replace(group=group),
                     owner=event.owner or placement.owner,
                     last_contact_at=now,
                     last_reply_at=now,
@@ -356,11 +364,9 @@
                 chosen = _build_choice(placement.request, reply.target, reply.reason)
                 return (chosen._replace(backup=reply.backup),)
             case ReservationRefusal():
-                del self._placements[reply.generation_id]
-                denied = _build_denial(
-                    placement.request, reply.code, reply.retry_after, reply.reason
-                )
-                return (denied,)
+                if placement.refused_groups and event.owner != placement.owner:
+                    return ()  # the owner of an earlier group repeats its refusal
+                return self._handle_refusal(placement, reply, now)
             case ReservationQueued():
                 self._placements[reply.generation_id] = placement._replace(
                     last_contact_at=now,
@@ -372,6 +378,33 @@
             case _:
                 assert_never(reply)
 
+    def _handle_refusal(
+        self, placement: _Placement, refusal: ReservationRefusal, now: float
+    ) -> tuple[Action, ...]:
+        """Ask another group of the service for a target, or deny the request."""
+        request = placement.request
+        refused_groups = placement.refused_groups | {request.group}
+        retry_after = min(placement.retry_after, refusal.retry_after)
+        groups = [g for g in self._list_groups(request) if g not in refused_groups]
+        owner = self._find_owner(groups[0], now) if groups else None
+        if owner is None or refusal.code not in _GROUP_REFUSALS:
+            del self._placements[request.generation_id]
+            return (_build_denial(request, refusal.code, retry_after, refusal.reason),)
+        max_wait = max(placement.deadline - now, 0.0)
+        request = request._replace(group=groups[0], max_wait=max_wait)
+        self._placements[request.generation_id] = placement._replace(
+            request=request,
+            owner=owner,
+            last_contact_at=now,
+            last_reply_at=now,
+            next_send=now + _RESEND_INTERVAL_SECONDS,
+            tried_owners=frozenset(),
+            refused_groups=refused_groups,
+            retry_after=retry_after,
+        )
+        limits = self._share_limits(owner, request.group, now)
+        return (*limits, SendToPeer(owner, request))
+
     def _handle_copy_dropped(
         self, dropped: ReservationCopyDropped
     ) -> tuple[Action, ...]:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
@@ -2,10 +2,11 @@
 
 from heathertack.controllers.tests.limit_simulation import (
     NOTICE_SECONDS,
+    SERVICE,
     LimitSimulation,
     World,
 )
-from heathertack.policy import ADMISSION_TUNING
+from heathertack.policy import ADMISSION_TUNING, group_targets
 
 SIZES = (1, 3, 12, 63, 330)
 #: Time within which a request that can't be served is refused, seconds.
@@ -47,6 +48,17 @@
         assert not simulation.refusal_delays
         assert simulation.served >= 0.95 * 25.0 * (20.0 - 1.0)
 
+    # Guards against requests that are refused because all targets of their group are
+    # limited, while another group of the service has room.
+    def test_targets_of_other_groups_take_the_rest(self) -> None:
+        names = [f"t{number}" for number in range(80)]
+        limited = group_targets(SERVICE, names)[f"{SERVICE}:0"]
+        rates = tuple(0.5 if name in limited else None for name in names)
+        simulation = simulate(World(12, rates, demand=80.0, seconds=12.0), 1)
+        assert not simulation.find_excess()
+        assert not simulation.refusal_delays
+        assert simulation.served >= 0.95 * 80.0 * (12.0 - 1.0)
+
     # Guards against a limit that a new owner does not know, or doubles.
     @pytest.mark.parametrize("interval", [2.0, 4.0])
     @pytest.mark.parametrize("instances", [3, 12, 330])
--- a/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
@@ -86,6 +86,57 @@
         (denied,) = entry.handle(OwnerReplied(refusal))
         assert denied == PlacementDenied("g", 1, "overloaded", 3.0, "full")
 
+    # Guards against a refusal while another group of the service has room: the targets
+    # of one group may all limit their rates.
+    @pytest.mark.parametrize("code", ["overloaded", "queue_full"])
+    def test_asks_the_other_groups_after_a_refusal(self, code: str) -> None:
+        entry = Entry(engines=130)
+        asked: list[str] = []
+        (action,) = entry.handle(PlacementRequested(request("g", max_wait=2.0)))
+        for number in range(3):
+            assert isinstance(action, SendToPeer)
+            assert isinstance(action.message, ReservationRequest)
+            assert action.message.max_wait == pytest.approx(2.0 - 0.1 * number)
+            asked.append(action.message.group)
+            refusal = ReservationRefusal("g", 1, code, 3.0 + number, "full")
+            replied = OwnerReplied(refusal, action.instance)
+            (action,) = entry.handle(replied, 0.1 * (number + 1))
+        assert sorted(asked) == ["tutor:0", "tutor:1", "tutor:2"]
+        assert action == PlacementDenied("g", 1, code, 3.0, "full")
+
+    def test_ignores_a_refusal_that_an_earlier_group_repeats(self) -> None:
+        entry = Entry(engines=130)
+        first = entry.ask()
+        refusal = ReservationRefusal("g", 1, "overloaded", 3.0, "full")
+        (asked,) = entry.handle(OwnerReplied(refusal, first))
+        assert isinstance(asked, SendToPeer)
+        assert asked.instance != first
+        assert entry.handle(OwnerReplied(refusal, first)) == ()
+
+    def test_asks_no_other_group_about_a_request_that_crashes_targets(self) -> None:
+        entry = Entry(engines=130)
+        entry.ask()
+        refusal = ReservationRefusal("g", 1, "quarantined", 60.0, "lost")
+        (denied,) = entry.handle(OwnerReplied(refusal))
+        assert denied == PlacementDenied("g", 1, "quarantined", 60.0, "lost")
+
+    def test_uses_the_grant_of_another_group(self) -> None:
+        entry = Entry(engines=130)
+        entry.ask()
+        refusal = ReservationRefusal("g", 1, "overloaded", 3.0, "full")
+        (asked,) = entry.handle(OwnerReplied(refusal))
+        assert isinstance(asked, SendToPeer)
+        granted = GRANT._replace(owner=asked.instance)
+        assert entry.handle(granted) == (TargetChosen("g", 1, "e1", "free"),)
+        (release,) = entry.handle(PlacementEnded("g", ReservationOutcome.FINISHED))
+        assert isinstance(release, SendToPeer)
+        assert isinstance(release.message, ReservationRelease)
+        assert isinstance(asked.message, ReservationRequest)
+        assert (release.instance, release.message.group) == (
+            asked.instance,
+            asked.message.group,
+        )
+
     def test_denies_at_once_without_targets(self) -> None:
         (denied,) = Entry(engines=0).handle(PlacementRequested(request("g")))
         assert isinstance(denied, PlacementDenied)
