--- a/packages/heathertack/src/heathertack/controllers/tests/limit_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/limit_simulation.py
@@ -89,6 +89,9 @@
     #: If it is positive, the others do not notice the restart, and what they send
     #: meanwhile arrives after it.
     table_delay: float = 0.0
+    #: Times at which the owner of the targets is suspended, and for how long, seconds.
+    freezes: tuple[float, ...] = ()
+    freeze_seconds: float = 1.0
     #: Time at which all instances are killed; negative for never.
     kill_all_at: float = -1.0
     #: Time at which the owner and all instances that are kept ready to follow it are
@@ -169,6 +172,8 @@
         self.targets = {f"t{n}": Target(rate, []) for n, rate in enumerate(world.rates)}
         self.names = [f"i{number}" for number in range(world.instances)]
         self.down: set[str] = set()
+        #: Times at which suspended instances go on.
+        self.frozen_until: dict[str, float] = {}
         self.nodes = {name: Node(name, 1) for name in self.names}
         self._numbers = count()
         self._arrived_at: dict[str, float] = {}
@@ -179,6 +184,8 @@
         self._at(0.0, self._arrive)
         for kill in world.kills:
             self._at(kill, lambda: self._kill([self._find_owner()]))
+        for freeze in world.freezes:
+            self._at(freeze, self._freeze_owner)
         if world.kill_all_at >= 0.0:
             self._at(world.kill_all_at, lambda: self._kill(list(self.names)))
         if world.kill_successors_at >= 0.0:
@@ -223,11 +230,18 @@
     def _ticker(self, name: str) -> Callable[[], None]:
         def tick() -> None:
             self._at(self.now + TICK_SECONDS, tick)
-            if name not in self.down:
+            if name not in self.down and not self._is_frozen(name):
                 self._carry_out(name, self.nodes[name].tick(self.now))
 
         return tick
 
+    def _freeze_owner(self) -> None:
+        owner = self._find_owner()
+        self.frozen_until[owner] = self.now + self.world.freeze_seconds
+
+    def _is_frozen(self, name: str) -> bool:
+        return self.now < self.frozen_until.get(name, 0.0)
+
     def _side(self, name: str) -> bool:
         """Return whether an instance is now on the smaller side of a cut."""
         begin, end = self.world.cut
@@ -310,7 +324,7 @@
         name = self.names[0 if is_first else 1 + self.random.randrange(others)]
         if not world.skew:
             name = self.random.choice(self.names)
-        if name in self.down:
+        if name in self.down or self._is_frozen(name):
             return
         generation_id = f"g{next(self._numbers)}"
         self._arrived_at[generation_id] = self.now
@@ -349,6 +363,9 @@
         self.messages += isinstance(action.message, TargetRates)
 
         def arrive() -> None:
+            if self._is_frozen(receiver):
+                self._at(self.frozen_until[receiver], arrive)
+                return
             if receiver in self.down and self.world.table_delay:
                 self._at(self.now + UNNOTICED_DOWN_SECONDS, arrive)
                 return
@@ -370,6 +387,9 @@
         def answer() -> None:
             if self.nodes[name] is not node or name in self.down:
                 return
+            if self._is_frozen(name):
+                self._at(self.frozen_until[name], answer)
+                return
             begin, end = self.world.limited
             rate = target.rate if begin <= self.now < end else None
             answered = TargetAnswered(chosen.target, rate, sent_at)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_limit_simulation.py
@@ -93,6 +93,26 @@
             assert not simulation.find_excess()
             assert simulation.used(4.0, 20.0) >= MIN_USED - 0.3
 
+    # Guards against an owner that goes on after a pause and assigns the whole rates
+    # while others assign their parts in its place.
+    @pytest.mark.parametrize("seconds", [0.5, 2.0, 4.0])
+    @pytest.mark.parametrize("instances", [3, 12, 63])
+    def test_rates_are_kept_when_owners_are_suspended(
+        self, instances: int, seconds: float
+    ) -> None:
+        world = World(
+            instances,
+            (1.0, 2.7, 6.0),
+            demand=60.0,
+            skew=0.5,
+            freezes=(5.0, 11.0),
+            freeze_seconds=seconds,
+        )
+        for seed in seeds(instances):
+            simulation = simulate(world, seed)
+            assert not simulation.find_excess()
+            assert simulation.used(4.0, 20.0) >= MIN_USED - seconds / 8.0
+
     # Guards against an owner to which none of the earlier ones told the limits: most
     # instances have never used a limited target.
     def test_rates_are_kept_by_an_owner_that_nobody_informed(self) -> None:
