--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -15,8 +15,8 @@
     RandomFloatSource,
     choose_addresses,
 )
-from heathertack.controllers._admission import (
-    AdmissionController,
+from heathertack.controllers._admission import AdmissionController, partition_targets
+from heathertack.controllers._admission_events import (
     AdmissionDue,
     AnnounceReceived,
     CacheEventReceived,
@@ -26,7 +26,6 @@
     ReleaseReceived,
     ReservationReceived,
     TargetLossReceived,
-    partition_targets,
 )
 from heathertack.controllers._admission_group import (
     AdmissionGroup,
@@ -146,11 +145,11 @@
     UncordonTarget,
     WeightsReported,
 )
-from heathertack.controllers._placement import (
+from heathertack.controllers._placement import PlacementController
+from heathertack.controllers._placement_types import (
     CopyDropped,
     LimitObserved,
     OwnerReplied,
-    PlacementController,
     PlacementDenied,
     PlacementDue,
     PlacementEnded,
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any, ClassVar, NamedTuple, assert_never
+from typing import Any, ClassVar, assert_never
 
 from heathertack.blackboard import (
     LEASE,
@@ -17,22 +17,29 @@
     TargetLimit,
 )
 from heathertack.controllers._actions import SendToPeer
+from heathertack.controllers._admission_events import (
+    AdmissionDue,
+    AdmissionEvent,
+    AnnounceReceived,
+    CacheEventReceived,
+    LoadReportMissed,
+    LoadReportReceived,
+    ProgressReceived,
+    ReleaseReceived,
+    ReservationReceived,
+    TargetLossReceived,
+)
 from heathertack.controllers._admission_group import AdmissionGroup
 from heathertack.controllers._admission_types import (
     AddressedReply,
-    EngineLoad,
     TargetCapacity,
 )
 from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._software_versions import find_version
 from heathertack.messages import (
     MemberState,
-    ReservationAnnounce,
-    ReservationBlame,
     ReservationGrant,
-    ReservationProgress,
     ReservationRelease,
-    ReservationRequest,
     ReservationUnknown,
     TargetRecord,
     TargetState,
@@ -45,80 +52,6 @@
     rank_successors,
 )
 
-
-class ReservationReceived(NamedTuple):
-    """An entry instance requested a target."""
-
-    instance: str
-    request: ReservationRequest
-
-
-class AnnounceReceived(NamedTuple):
-    """An entry instance announced a reservation that it uses."""
-
-    instance: str
-    announce: ReservationAnnounce
-
-
-class ProgressReceived(NamedTuple):
-    """An entry instance reported the progress of its generations."""
-
-    instance: str
-    progress: ReservationProgress
-
-
-class ReleaseReceived(NamedTuple):
-    """An entry instance ended a reservation."""
-
-    release: ReservationRelease
-
-
-class TargetLossReceived(NamedTuple):
-    """An entry instance reported that a target failed while it ran a request."""
-
-    loss: ReservationBlame
-
-
-class LoadReportReceived(NamedTuple):
-    """An engine reported its load."""
-
-    target: str
-    load: EngineLoad
-
-
-class LoadReportMissed(NamedTuple):
-    """An engine did not report its load."""
-
-    target: str
-    #: Number of consecutive missed reports.
-    missed: int
-
-
-class CacheEventReceived(NamedTuple):
-    """An engine stored or evicted prompt prefixes."""
-
-    target: str
-    sequence: int
-    stored: tuple[int, ...]
-    evicted: tuple[int, ...]
-
-
-class AdmissionDue(NamedTuple):
-    """The clock advanced."""
-
-
-Event = (
-    ReservationReceived
-    | AnnounceReceived
-    | ProgressReceived
-    | ReleaseReceived
-    | TargetLossReceived
-    | LoadReportReceived
-    | LoadReportMissed
-    | CacheEventReceived
-    | AdmissionDue
-)
-
 _MISSED_REPORTS_BEFORE_AVOIDANCE = 3
 _UNRESPONSIVE_TARGET_AVOIDANCE_SECONDS = 2.0
 
@@ -182,12 +115,12 @@
         ]
         return tuple(sorted(owned))
 
-    def handle(self, event: Event, now: float) -> tuple[SendToPeer, ...]:
+    def handle(self, event: AdmissionEvent, now: float) -> tuple[SendToPeer, ...]:
         """Handle an event and return the replies to send.
 
         Parameters
         ----------
-        event : Event
+        event : AdmissionEvent
             Event to handle.
         now : float
             Monotonic clock, seconds.
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -15,6 +15,20 @@
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission import partition_targets
 from heathertack.controllers._limit_sharing import LimitSharing
+from heathertack.controllers._placement_types import (
+    CopyDropped,
+    LimitObserved,
+    OwnerReplied,
+    PlacementAction,
+    PlacementDenied,
+    PlacementDue,
+    PlacementEnded,
+    PlacementEvent,
+    PlacementRequested,
+    TargetChosen,
+    TargetLossReported,
+    TokensGenerated,
+)
 from heathertack.controllers._target_health import find_usable_targets
 from heathertack.messages import (
     MemberState,
@@ -51,100 +65,6 @@
 _GROUP_REFUSALS = frozenset({"overloaded", "queue_full"})
 
 
-class PlacementRequested(NamedTuple):
-    """A generation needs a target. The controller sets the group of the request."""
-
-    request: ReservationRequest
-
-
-class OwnerReplied(NamedTuple):
-    """An admission owner replied."""
-
-    reply: (
-        ReservationGrant
-        | ReservationRefusal
-        | ReservationQueued
-        | ReservationUnknown
-        | ReservationCopyDropped
-    )
-    #: Instance that replied.
-    owner: str = ""
-
-
-class TokensGenerated(NamedTuple):
-    """A generation produced tokens."""
-
-    generation_id: str
-    generated_tokens: int
-
-
-class PlacementEnded(NamedTuple):
-    """A generation no longer needs its target."""
-
-    generation_id: str
-    outcome: ReservationOutcome
-
-
-class TargetLossReported(NamedTuple):
-    """A target failed while it ran a generation, which may have ended since."""
-
-    request: ReservationRequest
-    target: str
-
-
-class LimitObserved(NamedTuple):
-    """A target named a limit, or no longer names one."""
-
-    target: str
-
-
-class PlacementDue(NamedTuple):
-    """The clock advanced."""
-
-
-Event = (
-    PlacementRequested
-    | OwnerReplied
-    | TokensGenerated
-    | PlacementEnded
-    | TargetLossReported
-    | LimitObserved
-    | PlacementDue
-)
-
-
-class TargetChosen(NamedTuple):
-    """A generation may use a target."""
-
-    generation_id: str
-    attempt: int
-    target: str
-    reason: str
-    #: Target that is to hold a backup of the generation's KV cache; empty for none.
-    backup: str = ""
-
-
-class PlacementDenied(NamedTuple):
-    """A generation was refused a target."""
-
-    generation_id: str
-    attempt: int
-    code: str
-    #: Delay after which a retry may succeed, seconds.
-    retry_after: float
-    reason: str
-
-
-class CopyDropped(NamedTuple):
-    """A target no longer holds the backup of a generation."""
-
-    generation_id: str
-    backup: str
-
-
-Action = SendToPeer | TargetChosen | PlacementDenied | CopyDropped
-
-
 class _Placement(NamedTuple):
     """State of the placement of one generation."""
 
@@ -197,19 +117,19 @@
         self._rates = RequestRates()
         board.register(self)
 
-    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+    def handle(self, event: PlacementEvent, now: float) -> tuple[PlacementAction, ...]:
         """Handle an event and return the resulting actions.
 
         Parameters
         ----------
-        event : Event
+        event : PlacementEvent
             Event to handle.
         now : float
             Monotonic clock, seconds.
 
         Returns
         -------
-        tuple of Action
+        tuple of PlacementAction
             Messages to owners and decisions for generations.
         """
         match event:
@@ -232,7 +152,7 @@
 
     def _request_target(
         self, request: ReservationRequest, now: float
-    ) -> tuple[Action, ...]:
+    ) -> tuple[PlacementAction, ...]:
         groups = self._list_groups(request)
         if not groups:
             return self._choose_locally(request._replace(group=""), now)
@@ -297,7 +217,7 @@
 
     def _choose_locally(
         self, request: ReservationRequest, now: float
-    ) -> tuple[Action, ...]:
+    ) -> tuple[PlacementAction, ...]:
         """Choose a target without an admission owner.
 
         Returns the target with the fewest generations of this entry instance. Of a
@@ -336,7 +256,9 @@
         alive = sum(1 for m in members if m.state is MemberState.ALIVE)
         return RateUser("", 1.0 / max(alive, 1))
 
-    def _handle_reply(self, event: OwnerReplied, now: float) -> tuple[Action, ...]:
+    def _handle_reply(
+        self, event: OwnerReplied, now: float
+    ) -> tuple[PlacementAction, ...]:
         reply = event.reply
         self._avoid_owner_until.pop(event.owner, None)
         if isinstance(reply, ReservationUnknown):
@@ -380,7 +302,7 @@
 
     def _handle_refusal(
         self, placement: _Placement, refusal: ReservationRefusal, now: float
-    ) -> tuple[Action, ...]:
+    ) -> tuple[PlacementAction, ...]:
         """Ask another group of the service for a target, or deny the request."""
         request = placement.request
         refused_groups = placement.refused_groups | {request.group}
@@ -407,15 +329,15 @@
 
     def _handle_copy_dropped(
         self, dropped: ReservationCopyDropped
-    ) -> tuple[Action, ...]:
+    ) -> tuple[PlacementAction, ...]:
         placement = self._placements.get(dropped.generation_id)
         if placement is None or placement.backup != dropped.backup:
             return ()
         self._placements[dropped.generation_id] = placement._replace(backup="")
         return (CopyDropped(dropped.generation_id, dropped.backup),)
 
-    def _announce(self, generation_ids: tuple[str, ...]) -> tuple[Action, ...]:
-        actions: list[Action] = []
+    def _announce(self, generation_ids: tuple[str, ...]) -> tuple[PlacementAction, ...]:
+        actions: list[PlacementAction] = []
         for generation_id in generation_ids:
             placement = self._placements.get(generation_id)
             if placement is not None and placement.target and placement.owner:
@@ -428,7 +350,9 @@
                 actions.append(SendToPeer(placement.owner, announce))
         return tuple(actions)
 
-    def _record_tokens(self, event: TokensGenerated, now: float) -> tuple[Action, ...]:
+    def _record_tokens(
+        self, event: TokensGenerated, now: float
+    ) -> tuple[PlacementAction, ...]:
         placement = self._placements.get(event.generation_id)
         if placement is None:
             return ()
@@ -441,7 +365,7 @@
         progress = ReservationProgress(placement.request.group, (item,))
         return (SendToPeer(placement.owner, progress),)
 
-    def _end(self, event: PlacementEnded) -> tuple[Action, ...]:
+    def _end(self, event: PlacementEnded) -> tuple[PlacementAction, ...]:
         placement = self._placements.pop(event.generation_id, None)
         if placement is None or not placement.owner:
             return ()
@@ -456,7 +380,7 @@
 
     def _report_target_loss(
         self, event: TargetLossReported, now: float
-    ) -> tuple[Action, ...]:
+    ) -> tuple[PlacementAction, ...]:
         group = self._find_group(event.target) or f"{event.request.service}:0"
         owner = self._find_owner(group, now)
         if owner is None:
@@ -464,8 +388,8 @@
         loss = ReservationBlame(group, event.request.fingerprint, event.target)
         return (SendToPeer(owner, loss),)
 
-    def _tick(self, now: float) -> tuple[Action, ...]:
-        actions: list[Action] = []
+    def _tick(self, now: float) -> tuple[PlacementAction, ...]:
+        actions: list[PlacementAction] = []
         for placement in tuple(self._placements.values()):
             if not placement.target and now >= placement.next_send:
                 actions.extend(self._resend_request(placement, now))
@@ -475,7 +399,9 @@
             actions.extend(self._report_progress())
         return tuple(actions)
 
-    def _resend_request(self, placement: _Placement, now: float) -> tuple[Action, ...]:
+    def _resend_request(
+        self, placement: _Placement, now: float
+    ) -> tuple[PlacementAction, ...]:
         request = placement.request
         if now - placement.last_contact_at >= _OWNER_REPLY_TIMEOUT_SECONDS:
             self._avoid_owner_until[placement.owner] = now + _OWNER_AVOIDANCE_SECONDS
@@ -496,9 +422,9 @@
         again = SendToPeer(owner, request._replace(max_wait=max_wait))
         return (*self._share_limits(owner, request.group, now), again)
 
-    def _announce_to_new_owners(self, now: float) -> tuple[Action, ...]:
+    def _announce_to_new_owners(self, now: float) -> tuple[PlacementAction, ...]:
         """Announce reservations in use to the new owners of their groups."""
-        actions: list[Action] = []
+        actions: list[PlacementAction] = []
         for generation_id, placement in tuple(self._placements.items()):
             owner = self._find_owner(placement.request.group, now)
             if placement.target and owner is not None and owner != placement.owner:
@@ -506,7 +432,7 @@
                 actions.extend(self._announce((generation_id,)))
         return tuple(actions)
 
-    def _report_progress(self) -> tuple[Action, ...]:
+    def _report_progress(self) -> tuple[PlacementAction, ...]:
         items: dict[tuple[str, str], list[ProgressItem]] = {}
         for generation_id, placement in self._placements.items():
             if placement.target and placement.owner:
@@ -519,7 +445,7 @@
         )
 
 
-def _release_unused_grant(event: OwnerReplied) -> tuple[Action, ...]:
+def _release_unused_grant(event: OwnerReplied) -> tuple[PlacementAction, ...]:
     """Release a grant that no generation waits for.
 
     An owner that resumes after a pause grants the requests that it received before,
