--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -166,17 +166,17 @@
             request, deadline, owner, now, now, now + _RESEND_INTERVAL_SECONDS
         )
         self._placements[request.generation_id] = placement
-        limits = self._share_limits(owner, request.group, now)
-        return (*limits, SendToPeer(owner, request))
+        return self._ask_owner(owner, request, now)
 
-    def _share_limits(
-        self, owner: str, group: str, now: float
+    def _ask_owner(
+        self, owner: str, request: ReservationRequest, now: float
     ) -> tuple[SendToPeer, ...]:
-        """Return what an owner has to know of limits before it chooses a target."""
-        if not self._board.read(TARGET_LIMITS):
-            return ()
-        groups = partition_targets(self._board.read(TARGETS))
-        return self._sharing.build(owner, groups.get(group, ()), now)
+        """Return a request, after what its owner must know of limits to serve it."""
+        limits: tuple[SendToPeer, ...] = ()
+        if self._board.read(TARGET_LIMITS):
+            groups = partition_targets(self._board.read(TARGETS))
+            limits = self._sharing.build(owner, groups.get(request.group, ()), now)
+        return (*limits, SendToPeer(owner, request))
 
     def _report_limit(self, target: str, now: float) -> tuple[SendToPeer, ...]:
         """Tell the owner of a target its limit."""
@@ -324,8 +324,7 @@
             refused_groups=refused_groups,
             retry_after=retry_after,
         )
-        limits = self._share_limits(owner, request.group, now)
-        return (*limits, SendToPeer(owner, request))
+        return self._ask_owner(owner, request, now)
 
     def _handle_copy_dropped(
         self, dropped: ReservationCopyDropped
@@ -419,8 +418,7 @@
             next_send=now + _RESEND_INTERVAL_SECONDS, tried_owners=tried_owners
         )
         max_wait = max(placement.deadline - now, 0.0)
-        again = SendToPeer(owner, request._replace(max_wait=max_wait))
-        return (*self._share_limits(owner, request.group, now), again)
+        return self._ask_owner(owner, request._replace(max_wait=max_wait), now)
 
     def _announce_to_new_owners(self, now: float) -> tuple[PlacementAction, ...]:
         """Announce reservations in use to the new owners of their groups."""
