Choose targets without an owner in a class of its own

_placement.py also kept the rates of the targets that an instance chooses by itself. No change of behaviour: the library's and the forwarding tests pass.

--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
@@ -15,12 +16,12 @@
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission import partition_targets
 from heathertack.controllers._limit_sharing import LimitSharing
+from heathertack.controllers._local_target_chooser import LocalTargetChooser
 from heathertack.controllers._placement_types import (
     CopyDropped,
     LimitObserved,
     OwnerReplied,
     PlacementAction,
-    PlacementDenied,
     PlacementDue,
     PlacementEnded,
     PlacementEvent,
@@ -28,8 +29,9 @@
     TargetChosen,
     TargetLossReported,
     TokensGenerated,
+    build_choice,
+    build_denial,
 )
-from heathertack.controllers._target_health import find_usable_targets
 from heathertack.messages import (
     MemberState,
     ProgressItem,
@@ -45,7 +47,7 @@
     ReservationRequest,
     ReservationUnknown,
 )
-from heathertack.policy import RateUser, RequestRates, choose_owner
+from heathertack.policy import choose_owner
 
 _RESEND_INTERVAL_SECONDS = 0.3
 _QUEUED_RESEND_INTERVAL_SECONDS = 1.0
@@ -58,8 +60,6 @@
 #: the table of members sooner.
 _OWNER_AVOIDANCE_SECONDS = 3.0
 _LOCAL_FALLBACK_SECONDS = 1.2
-#: Maximum delay after which a refused caller is asked to return.
-_MAX_RETRY_SECONDS = 60.0
 _PROGRESS_INTERVAL_SECONDS = 1.0
 #: Refusals that say nothing of the other groups of the service.
 _GROUP_REFUSALS = frozenset({"overloaded", "queue_full"})
@@ -113,8 +113,7 @@
         self._next_progress = 0.0
         self._group_counter = 0
         self._sharing = LimitSharing(board)
-        #: Rates of limited targets that this instance chooses without an owner.
-        self._rates = RequestRates()
+        self._chooser = LocalTargetChooser(board)
         board.register(self)
 
     def handle(self, event: PlacementEvent, now: float) -> tuple[PlacementAction, ...]:
@@ -218,43 +217,20 @@
     def _choose_locally(
         self, request: ReservationRequest, now: float
     ) -> tuple[PlacementAction, ...]:
-        """Choose a target without an admission owner.
-
-        Returns the target with the fewest generations of this entry instance. Of a
-        limited rate, the instance uses its even part.
-        """
-        usable = find_usable_targets(self._board, request.service, now)
-        user = self._update_rates(now)
-        accepting = tuple(t for t in usable if self._rates.accepts(t.name, user, now))
-        if usable and not accepting:
-            wait = self._rates.wait((t.name for t in usable), user, 0, now)
-            reason = "the rates of all targets are used up"
-            retry_after = min(wait, _MAX_RETRY_SECONDS)
-            return (_build_denial(request, "overloaded", retry_after, reason),)
-        usable = accepting
-        counts = {target.name: 0 for target in usable}
-        for placement in self._placements.values():
-            if placement.target in counts:
-                counts[placement.target] += 1
-        names = [name for name in counts if name not in request.excluded]
-        names = names or list(counts)
-        if not names:
-            return (_build_denial(request, "no_target", 1.0, "no target is live"),)
-        target = min(names, key=lambda name: (counts[name], name))
-        self._rates.spend(target, user, now)
-        self._placements[request.generation_id] = _Placement(
-            request, now + request.max_wait, "", now, now, float("inf"), target
-        )
-        return (_build_choice(request, target, "no admission owner to ask"),)
-
-    def _update_rates(self, now: float) -> RateUser:
-        """Apply the known limits, and return the part of this instance."""
-        limits = self._board.read(TARGET_LIMITS)
-        rates = {t: limit.rate for t, limit in limits.items() if limit.rate is not None}
-        self._rates.set_rates(rates, now)
-        members = self._board.read(MEMBERS).values()
-        alive = sum(1 for m in members if m.state is MemberState.ALIVE)
-        return RateUser("", 1.0 / max(alive, 1))
+        """Choose a target without an admission owner."""
+        counts = Counter(p.target for p in self._placements.values())
+        decision = self._chooser.choose(request, counts, now)
+        if isinstance(decision, TargetChosen):
+            self._placements[request.generation_id] = _Placement(
+                request,
+                now + request.max_wait,
+                "",
+                now,
+                now,
+                float("inf"),
+                decision.target,
+            )
+        return (decision,)
 
     def _handle_reply(
         self, event: OwnerReplied, now: float
@@ -283,7 +259,7 @@
                     target=reply.target,
                     backup=reply.backup,
                 )
-                chosen = _build_choice(placement.request, reply.target, reply.reason)
+                chosen = build_choice(placement.request, reply.target, reply.reason)
                 return (chosen._replace(backup=reply.backup),)
             case ReservationRefusal():
                 if placement.refused_groups and event.owner != placement.owner:
@@ -311,7 +287,7 @@
         owner = self._find_owner(groups[0], now) if groups else None
         if owner is None or refusal.code not in _GROUP_REFUSALS:
             del self._placements[request.generation_id]
-            return (_build_denial(request, refusal.code, retry_after, refusal.reason),)
+            return (build_denial(request, refusal.code, retry_after, refusal.reason),)
         max_wait = max(placement.deadline - now, 0.0)
         request = request._replace(group=groups[0], max_wait=max_wait)
         self._placements[request.generation_id] = placement._replace(
@@ -460,17 +436,3 @@
         0,
     )
     return (SendToPeer(event.owner, release),)
-
-
-def _build_choice(
-    request: ReservationRequest, target: str, reason: str
-) -> TargetChosen:
-    return TargetChosen(request.generation_id, request.attempt, target, reason)
-
-
-def _build_denial(
-    request: ReservationRequest, code: str, retry_after: float, reason: str
-) -> PlacementDenied:
-    return PlacementDenied(
-        request.generation_id, request.attempt, code, retry_after, reason
-    )
--- a/packages/heathertack/src/heathertack/controllers/_placement_types.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement_types.py
@@ -108,3 +108,17 @@
 
 
 PlacementAction = SendToPeer | TargetChosen | PlacementDenied | CopyDropped
+
+
+def build_choice(request: ReservationRequest, target: str, reason: str) -> TargetChosen:
+    """Return the choice of a target for a request."""
+    return TargetChosen(request.generation_id, request.attempt, target, reason)
+
+
+def build_denial(
+    request: ReservationRequest, code: str, retry_after: float, reason: str
+) -> PlacementDenied:
+    """Return the denial of a request."""
+    return PlacementDenied(
+        request.generation_id, request.attempt, code, retry_after, reason
+    )
