Keep the limit of a target that refuses a request without naming it

A target that is full refuses requests and says that it has not run them. If it does so without its usual headers, the refusal ended the limit that it had named, so it got all requests until its next whole answer, at the time of its greatest need.

Only an answer to a request that has run ends a limit now; one that names a limit is taken over whatever it says.

--- a/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
@@ -32,4 +32,7 @@
             )
             return
         rate = head.request_rate.unwrap()
+        if rate is None and head.has_not_run:
+            # Targets may refuse requests without their usual headers.
+            return
         self._instance.record_target_answer(TargetAnswered(target, rate, sent_at))
