Append a command once however often it is sent

Operators of a large system saw a valid order that got no confirmation for 10 s and more. Each attempt of an instance, and each instance that the operator tried, sent the whole order again, and the leader appended each copy and sent it to all voters, also when the order had been in force for seconds.

The leader now answers a bundle that would change nothing from its state machine, and lets a copy of a pending command wait for the entry of the first one.

--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -78,12 +78,20 @@
 Action = SendToPeer | ReplyToCommand | AnnounceBundle | AnnounceLeadership
 
 
-class _PendingCommand(NamedTuple):
-    """A proposed command whose requester waits for the result."""
+class _Requester(NamedTuple):
+    """Who waits for the result of a command."""
 
     request_id: str
-    requester: str
+    instance: str
+
+
+class _PendingCommand(NamedTuple):
+    """A proposed command whose result is awaited."""
+
+    #: Equal for commands that need only one log entry.
+    key: str
     term: int
+    requesters: tuple[_Requester, ...]
 
 
 class ControlLogController:
@@ -131,6 +139,7 @@
         self._control_peers = control_peers
         self._queued: list[CommandSubmitted] = []
         self._pending: dict[int, _PendingCommand] = {}
+        self._pending_indexes: dict[str, int] = {}
         self._applied_index = replica.commit_index
         self._actions: list[Action] = []
         self._next_join = 0.0
@@ -238,8 +247,9 @@
         return self._suspects
 
     def _propose_queued(self, now: float) -> None:
-        submitted = tuple(self._queued)
+        queued = tuple(self._queued)
         self._queued.clear()
+        submitted = tuple(item for item in queued if not self._join_known(item))
         if not submitted:
             return
         payloads = tuple(
@@ -249,10 +259,8 @@
         match result:
             case Success(proposal):
                 for offset, item in enumerate(submitted):
-                    pending = _PendingCommand(
-                        item.request_id, item.requester, proposal.term
-                    )
-                    self._pending[proposal.first_index + offset] = pending
+                    index = proposal.first_index + offset
+                    self._add_pending(index, proposal.term, item)
             case Failure(_):
                 for item in submitted:
                     self._answer_failure(
@@ -260,6 +268,35 @@
                     )
         self._carry_out(effects)
 
+    def _join_known(self, item: CommandSubmitted) -> bool:
+        """Return whether a submitted command needs no log entry of its own.
+
+        The requester of a bundle that would change nothing gets its result at once.
+        That of a command that is in the log already waits for that entry: requesters
+        send a command again, and an operator sends a bundle to several instances.
+        """
+        result = self._machine.find_result(item.command)
+        if result is not None:
+            self._answer(item.request_id, item.requester, RESULT_CODEC.encode(result))
+            return True
+        index = self._pending_indexes.get(_identify(item))
+        if index is None:
+            return False
+        pending = self._pending[index]
+        requester = _Requester(item.request_id, item.requester)
+        if requester not in pending.requesters:
+            requesters = (*pending.requesters, requester)
+            self._pending[index] = pending._replace(requesters=requesters)
+        return True
+
+    def _add_pending(self, index: int, term: int, item: CommandSubmitted) -> None:
+        if not item.request_id:
+            return
+        key = _identify(item)
+        requester = _Requester(item.request_id, item.requester)
+        self._pending[index] = _PendingCommand(key, term, (requester,))
+        self._pending_indexes[key] = index
+
     def _handle_tick(self, wall_time: float, now: float) -> None:
         self._wall_time = wall_time
         self._carry_out(self._replica.tick(now))
@@ -386,12 +423,12 @@
             pending = self._pending.pop(entry.log_index, None)
             if pending is None:
                 continue
-            if pending.term == entry.term:
-                self._answer(pending.request_id, pending.requester, result)
-            else:
-                self._answer_failure(
-                    pending.request_id, pending.requester, ControlStatus.UNAVAILABLE
-                )
+            self._pending_indexes.pop(pending.key, None)
+            if pending.term != entry.term:
+                self._answer_unavailable(pending)
+                continue
+            for requester in pending.requesters:
+                self._answer(requester.request_id, requester.instance, result)
         if self._is_snapshot_due():
             data = self._machine.encode_snapshot()
             self._carry_out(self._replica.take_snapshot(self._applied_index, data))
@@ -420,10 +457,15 @@
         if effect.is_leader:
             return
         for pending in self._pending.values():
+            self._answer_unavailable(pending)
+        self._pending.clear()
+        self._pending_indexes.clear()
+
+    def _answer_unavailable(self, pending: _PendingCommand) -> None:
+        for requester in pending.requesters:
             self._answer_failure(
-                pending.request_id, pending.requester, ControlStatus.UNAVAILABLE
+                requester.request_id, requester.instance, ControlStatus.UNAVAILABLE
             )
-        self._pending.clear()
 
     def _answer(self, request_id: str, requester: str, result: bytes) -> None:
         if request_id:
@@ -449,6 +491,14 @@
     return replica.partition("/")[0]
 
 
+def _identify(item: CommandSubmitted) -> str:
+    """Return a key that is equal for commands that need only one log entry."""
+    command = item.command
+    if isinstance(command, ApplyBundle):
+        return f"bundle {command.version} {command.digest}"
+    return item.request_id
+
+
 def _set_timestamp(submitted: CommandSubmitted) -> Command:
     """Set the leader's wall-clock time in a command that has a timestamp."""
     command = submitted.command
--- a/packages/heathertack/src/heathertack/state/_machine.py
+++ b/packages/heathertack/src/heathertack/state/_machine.py
@@ -118,6 +118,18 @@
             case _:
                 assert_never(command)
 
+    def find_result(self, command: Command) -> Result | None:
+        """Return the result of a command that would change nothing.
+
+        ``None`` if the command must be applied.
+        """
+        current = self._bundle
+        if not isinstance(command, ApplyBundle) or current is None:
+            return None
+        if command.version > current.version:
+            return None
+        return _resolve_old_version(command, current)
+
     def encode_snapshot(self) -> bytes:
         """Encode the whole state."""
         data = _SnapshotData(
@@ -144,9 +156,9 @@
         self._barred_replicas = frozenset(data.barred_replicas)
 
     def _apply_bundle(self, index: int, command: ApplyBundle) -> Result:
-        current = self.bundle
-        if current is not None and command.version <= current.version:
-            return _resolve_old_version(command, current)
+        known = self.find_result(command)
+        if known is not None:
+            return known
         accepted = AcceptedBundle(
             index, command.version, command.digest, command.signed, command.at
         )
