--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -207,7 +207,7 @@
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
         self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
-        self.control = ControlClient(self.send, self._find_leader)
+        self.control = ControlClient(self.send, self._find_leader, logger)
         self._commands = CommandQueue(self.control, logger)
         self._listeners: dict[str, PlacementListener] = {}
         self._in_force_events: dict[int, asyncio.Event] = {}
@@ -276,7 +276,7 @@
             case ControlRequest():
                 self._submit_command(sender, message, now)
             case ControlReply():
-                self.control.receive(message)
+                self.control.receive(sender, message)
             case StreamOrigins() | StreamOriginQuery() | StreamOriginReply():
                 self._handle_origin_message(sender, message, now)
             case TargetRates():
