Acknowledge an order that this instance holds

Operators saw 503 for orders that were in force everywhere: the instance that they asked waited for the leader's reply, and each further one asked the leader again, although all of them had been told to use the very bundle. A bundle reaches instances only after its commit, so an instance that holds a version may confirm it, and every version below.

Before: test_order_in_force_is_acknowledged_without_a_leader red (503 instead of 200).

--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -211,6 +211,7 @@
         self._commands = CommandQueue(self.control, logger)
         self._listeners: dict[str, PlacementListener] = {}
         self._in_force_events: dict[int, asyncio.Event] = {}
+        self._bundle_waiters: set[asyncio.Future[None]] = set()
         self._local_reply_callbacks: dict[str, Callable[[ReplyToCommand], None]] = {}
         self._task: asyncio.Task[None] | None = None
         self.explanations = ExplanationLog()
@@ -225,6 +226,12 @@
         own = [self.name] if "data_folder" in self.settings else []
         return tuple(own + others)
 
+    @property
+    def held_version(self) -> int:
+        """Version of the bundle in use here, which is committed; 0 without one."""
+        bundle = self.board.read(BUNDLE).bundle
+        return bundle["version"] if bundle is not None else 0
+
     async def start(self) -> None:
         """Open the connections to other instances and start the periodic work."""
         await self.network.start()
@@ -340,6 +347,16 @@
         """Register a callback for the reply to a local operation."""
         self._local_reply_callbacks[request_id] = callback
 
+    async def wait_until_held(self, version: int) -> None:
+        """Wait until a bundle of at least a version is in use on this instance."""
+        while self.held_version < version:
+            changed = asyncio.get_running_loop().create_future()
+            self._bundle_waiters.add(changed)
+            try:
+                await changed
+            finally:
+                self._bundle_waiters.discard(changed)
+
     async def wait_until_in_force(self, index: int, timeout: float) -> bool:
         """Wait until a bundle is in force everywhere; return whether it is."""
         if self.grantor is not None and self.grantor.in_force_index >= index:
@@ -478,6 +495,9 @@
                 log_index=after.log_index,
                 version=after.bundle["version"],
             )
+            for waiter in self._bundle_waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
 
     def _handle_origin_message(
         self,
