Reproduce streams that go on at another version after all records are lost, known red

What callers saw: a stream begun at v1, taken up after all instances were killed at once while only targets of v2 were left, was answered 200 with the rest of the text from v2.

--- a/packages/heathertack/src/heathertack/controllers/tests/test_stream_origins.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_stream_origins.py
@@ -55,16 +55,22 @@
         self.random = random.Random(size)
         self.found: dict[tuple[str, str], OriginDetermined] = {}
         self.boards: dict[str, Blackboard] = {}
+        self.writers: dict[str, Writer] = {}
         self.controllers: dict[str, StreamOriginController] = {}
         for name in self.names:
             self.start(name)
 
-    def start(self, name: str) -> None:
-        """Start a process that remembers nothing."""
+    def start(self, name: str, missing: tuple[Section[Any], ...] = ()) -> None:
+        """Start a process that remembers nothing, and lacks some of the tables."""
         self.dead.discard(name)
         board = Blackboard()
-        writer = Writer()
-        board.register(writer)
+        self.writers[name] = Writer()
+        board.register(self.writers[name])
+        self.boards[name] = board
+        self.controllers[name] = StreamOriginController(board, name)
+        self.write_tables(name, missing)
+
+    def write_tables(self, name: str, missing: tuple[Section[Any], ...] = ()) -> None:
         members = {
             other: MemberRecord(
                 other, 1, MemberState.ALIVE, "", f"zone-{number % 3}", 1, 0
@@ -77,18 +83,24 @@
             )
             for number in range(4)
         }
-        board.write(writer, MEMBERS, members)
-        board.write(writer, TARGETS, targets)
-        board.write(
-            writer,
-            TARGET_VERSIONS,
-            {
-                target: self.versions[number % len(self.versions)]
-                for number, target in enumerate(targets)
-            },
-        )
-        self.boards[name] = board
-        self.controllers[name] = StreamOriginController(board, name)
+        versions = {
+            target: self.versions[number % len(self.versions)]
+            for number, target in enumerate(targets)
+        }
+        tables = {MEMBERS: members, TARGETS: targets, TARGET_VERSIONS: versions}
+        for section, table in tables.items():
+            if section not in missing:
+                self.boards[name].write(self.writers[name], section, table)
+
+    def replace_targets(self, *versions: str) -> None:
+        """Replace all targets by others, which all instances learn at once."""
+        self.versions = versions
+        for name in self.names:
+            self.write_tables(name)
+
+    def list_keepers(self) -> list[str]:
+        """Return the instances that remember an origin."""
+        return [n for n in self.names if self.controllers[n].remembered_count]
 
     def handle(self, name: str, event: Any) -> None:
         for action in self.controllers[name].handle(event, self.now):
@@ -177,6 +189,70 @@
         assert cluster.controllers["i0"].remembered_count == 8192
 
 
+@pytest.mark.parametrize("size", [3, 9, 12, 60])
+class TestLostOrigins:
+    # Guards against a stream that goes on at another software version after all
+    # instances were killed at once and the targets that began it have left.
+    def test_kill_of_all_instances(self, size: int) -> None:
+        cluster = Cluster(size, ("v1",))
+        for number in range(20):
+            cluster.begin(f"i{number % size}", f"s{number}", "v1")
+        cluster.replace_targets("v2")
+        for name in cluster.names:
+            cluster.start(name)
+        found = [cluster.resume(f"i{n % size}", f"s{n}") for n in range(20)]
+        assert found == [None] * 20
+
+    # Guards against the same while instances have not received all tables yet.
+    @pytest.mark.parametrize(
+        "missing",
+        [
+            (MEMBERS,),
+            (TARGETS,),
+            (TARGET_VERSIONS,),
+            (TARGETS, TARGET_VERSIONS),
+            (MEMBERS, TARGETS, TARGET_VERSIONS),
+        ],
+        ids=lambda missing: "+".join(section.name for section in missing),
+    )
+    @pytest.mark.parametrize("late_fraction", [0.0, 0.5, 1.0])
+    def test_late_tables(
+        self, size: int, missing: tuple[Section[Any], ...], late_fraction: float
+    ) -> None:
+        cluster = Cluster(size, ("v1",))
+        cluster.begin("i1", "s", "v1")
+        cluster.replace_targets("v2")
+        late = cluster.names[: max(1, int(size * late_fraction))]
+        for name in cluster.names:
+            cluster.start(name, missing if name in late else ())
+        assert cluster.resume("i0", "s") is None
+
+    # Guards against the same after the instances that know a stream were killed one
+    # after the other, the one that delivered it first.
+    def test_keepers_killed_in_turn(self, size: int) -> None:
+        cluster = Cluster(size, ("v1",))
+        cluster.begin("i0", "s", "v1")
+        cluster.replace_targets("v2")
+        for name in ("i0", *cluster.list_keepers()):
+            cluster.dead.add(name)
+            cluster.run(0.5)
+            cluster.start(name)
+        assert cluster.list_keepers() == []
+        assert cluster.resume("i0", "s") is None
+
+    # Guards against the same after a part of the instances were killed at once.
+    @pytest.mark.parametrize("killed_fraction", [0.34, 0.67, 0.9])
+    def test_kill_of_a_part(self, size: int, killed_fraction: float) -> None:
+        cluster = Cluster(size, ("v1",))
+        for number in range(20):
+            cluster.begin(f"i{number % size}", f"s{number}", "v1")
+        cluster.replace_targets("v2")
+        for name in cluster.names[: int(size * killed_fraction) + 1]:
+            cluster.start(name)
+        found = [cluster.resume("i0", f"s{number}") for number in range(20)]
+        assert set(found) <= {"v1", None}
+
+
 class TestUnknownOrigins:
     @pytest.mark.parametrize(
         ("versions", "expected"), [(("v1",), "v1"), (("v1", "v2"), None)]
