--- a/packages/heathertack/src/heathertack/controllers/tests/test_stream_origins.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_stream_origins.py
@@ -87,7 +87,11 @@
             target: self.versions[number % len(self.versions)]
             for number, target in enumerate(targets)
         }
-        tables = {MEMBERS: members, TARGETS: targets, TARGET_VERSIONS: versions}
+        tables: dict[Section[Any], Any] = {
+            MEMBERS: members,
+            TARGETS: targets,
+            TARGET_VERSIONS: versions,
+        }
         for section, table in tables.items():
             if section not in missing:
                 self.boards[name].write(self.writers[name], section, table)
