Reproduce an instance that never learns the versions, known red

An instance restarts under a settled leader, the message with the versions is lost and the grant behind it arrives: in virtual time the instance takes all targets for alike for 200 s of renewals, so that streams may move or continue at any version (ORDER). Messages may be lost so where a connection closes between two of them.

--- a/packages/heathertack/src/heathertack/controllers/tests/test_software_versions.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_software_versions.py
@@ -92,6 +92,19 @@
             published.renew(3.0 + step)
         assert find_version(board, "e3") == "v3"
 
+    # Guards against an instance that takes all targets for alike after a restart, since
+    # the only message with their versions was lost.
+    @pytest.mark.parametrize("restarted_at", [0.1, 20.0])
+    def test_lost_first_versions_are_requested_again(self, restarted_at: float) -> None:
+        published = Published()
+        published.list_targets(VERSIONS, 0.0)
+        published.loses_versions = True
+        published.renew(restarted_at)
+        published.loses_versions = False
+        for step in range(1, 11):
+            published.renew(restarted_at + step * 0.5)
+        assert published.versions == VERSIONS
+
     def test_versions_of_removed_targets_are_forgotten(self) -> None:
         published = Published()
         for number in range(50):
