Request the versions of targets again when the first message is lost

What callers would see (ORDER): an instance that restarted under a settled leader and lost the one message with versions took all targets for alike while that leader stayed, so its streams could move or continue at any version.

Cause: no version at all was taken for a leader that publishes none. Class of fault: a missing record taken for an answer. Now the leader publishes a version of each target, empty where the platform names none, and an instance that lacks any requests the full tables, each 2 s at most. Under a leader of an older build it does so until the builds are exchanged; targets count as alike meanwhile, as before. Until the versions arrive, 2 s or so, the instance still takes targets for alike.

--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -300,12 +300,10 @@
         self._reported_leaving &= names
         self._listed = {target.name: target for target in event.targets}
         changed = False
-        has_versions = any(event.versions.values())
         for name in names:
             changed |= self._put_target(name)
-            if has_versions:
-                version = TargetVersion(name, event.versions.get(name, ""))
-                changed |= self._versions.put(name, version)
+            version = TargetVersion(name, event.versions.get(name, ""))
+            changed |= self._versions.put(name, version)
         for name in tuple(self._targets):
             previous = self._targets.find(name)
             if name not in names and previous is not None:
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -204,7 +204,7 @@
         received.
         """
         versions = self._board.read(TARGET_VERSIONS)
-        is_missing = bool(versions) and any(
+        is_missing = any(
             target.name not in versions
             for target in self._board.read(TARGETS).values()
             if target.state is not TargetState.GONE
--- a/packages/heathertack/src/heathertack/controllers/_software_versions.py
+++ b/packages/heathertack/src/heathertack/controllers/_software_versions.py
@@ -9,7 +9,7 @@
 def find_version(board: Blackboard, target: str) -> str | None:
     """Return the software version of a target, ``None`` while it is not known.
 
-    All targets have the same version if the leader publishes none.
+    All targets have the same version if the leader publishes none, as older builds do.
     """
     versions = board.read(TARGET_VERSIONS)
     return versions.get(target) if versions else ""
