Log the replication of large entries, the pushes of bundles and the control lease

An order that is in force but never acknowledged leaves no trace of the copies that were submitted, of their size, of when each replica stored and applied them, and of what the leader sent to the instances.

--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -7,6 +7,8 @@
     ConfirmBundleInForce,
     ProposeCommand,
     ReplyToCommand,
+    ReportEntryCommitted,
+    ReportEntryStored,
     SendToPeer,
 )
 from heathertack.controllers._addresses import (
@@ -299,6 +301,8 @@
     "ReleaseTarget",
     "ReplicaOperation",
     "ReplyToCommand",
+    "ReportEntryCommitted",
+    "ReportEntryStored",
     "ReportLoss",
     "ReportTargetFailure",
     "ReportedStateChanged",
--- a/packages/heathertack/src/heathertack/controllers/_actions.py
+++ b/packages/heathertack/src/heathertack/controllers/_actions.py
@@ -53,6 +53,25 @@
     is_leader: bool
 
 
+class ReportEntryStored(NamedTuple):
+    """Log that this replica stored a large entry."""
+
+    log_index: int
+    term: int
+    #: Bytes of the entry's payload.
+    size: int
+    is_leader: bool
+
+
+class ReportEntryCommitted(NamedTuple):
+    """Log that a large entry is committed."""
+
+    log_index: int
+    #: Time since this replica stored the entry, seconds.
+    elapsed: float
+    is_leader: bool
+
+
 class ConfirmBundleInForce(NamedTuple):
     """Report to operators that a bundle is in force on all instances."""
 
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -18,6 +18,7 @@
     Replica,
     ReportRegressedReplica,
     RestoreSnapshot,
+    Role,
     SaveHardState,
     SaveSnapshot,
     SendMessage,
@@ -27,6 +28,8 @@
     AnnounceBundle,
     AnnounceLeadership,
     ReplyToCommand,
+    ReportEntryCommitted,
+    ReportEntryStored,
     SendToPeer,
 )
 from heathertack.controllers._control_log_events import (
@@ -75,7 +78,17 @@
 #: machine usually takes to restart or stays frozen.
 _VOTER_TIMEOUT_SECONDS = 10.0
 
-Action = SendToPeer | ReplyToCommand | AnnounceBundle | AnnounceLeadership
+#: Minimum payload of an entry whose replication is logged, bytes.
+_LARGE_ENTRY_BYTES = 64 * 1024
+
+Action = (
+    SendToPeer
+    | ReplyToCommand
+    | AnnounceBundle
+    | AnnounceLeadership
+    | ReportEntryStored
+    | ReportEntryCommitted
+)
 
 
 class _Requester(NamedTuple):
@@ -142,6 +155,9 @@
         self._pending_indexes: dict[str, int] = {}
         self._applied_index = replica.commit_index
         self._actions: list[Action] = []
+        self._now = 0.0
+        #: Time at which each large entry that is not applied yet was stored.
+        self._large_stored_at: dict[int, float] = {}
         self._next_join = 0.0
         self._next_expiry = 0.0
         self._regressed: set[str] = set()
@@ -189,6 +205,7 @@
         tuple of Action
             Actions in the order in which they are to be carried out.
         """
+        self._now = now
         match event:
             case ConsensusReceived():
                 self._carry_out(self._replica.handle(event.message, now))
@@ -391,6 +408,7 @@
                     self._storage.save_hard_state(effect.hard_state)
                 case AppendEntries():
                     self._storage.append(effect.entries)
+                    self._report_stored(effect.entries)
                 case TruncateLog():
                     self._storage.truncate(effect.first_index)
                 case SaveSnapshot():
@@ -410,7 +428,30 @@
                     assert_never(effect)
         self._storage.sync()
 
+    def _report_stored(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            self._large_stored_at.pop(entry.log_index, None)
+            size = len(entry.payload)
+            if size < _LARGE_ENTRY_BYTES:
+                continue
+            self._large_stored_at[entry.log_index] = self._now
+            is_leader = self._replica.role is Role.LEADER
+            self._actions.append(
+                ReportEntryStored(entry.log_index, entry.term, size, is_leader)
+            )
+
+    def _report_committed(self, entry: LogEntry) -> None:
+        stored_at = self._large_stored_at.pop(entry.log_index, None)
+        if stored_at is None:
+            return
+        elapsed = self._now - stored_at
+        is_leader = self._replica.role is Role.LEADER
+        self._actions.append(ReportEntryCommitted(entry.log_index, elapsed, is_leader))
+
     def _restore(self, index: int, data: bytes) -> None:
+        self._large_stored_at = {
+            stored: at for stored, at in self._large_stored_at.items() if stored > index
+        }
         self._machine.restore_snapshot(data)
         self._applied_index = index
         if self._machine.bundle is not None:
@@ -419,6 +460,7 @@
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
             self._applied_index = entry.log_index
+            self._report_committed(entry)
             result = self._apply_entry(entry)
             pending = self._pending.pop(entry.log_index, None)
             if pending is None:
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -67,6 +67,8 @@
     ReleaseReceived,
     ReplyToCommand,
     ReportedStateChanged,
+    ReportEntryCommitted,
+    ReportEntryStored,
     ReservationReceived,
     SendToPeer,
     StreamOriginController,
@@ -119,12 +121,15 @@
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
+from heathertackd._push_log import PushLog
 from heathertackd._retry_allowance import RetryAllowance
 
 _CONTROL_TICK_SECONDS = 0.05
 #: Time reserved before the process would be killed, to end its responses cleanly.
 _STOP_MARGIN_SECONDS = 0.4
 _ENTRY_TICK_SECONDS = 0.1
+#: Minimum size of a submitted command that is logged.
+_LARGE_COMMAND_BYTES = 64 * 1024
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
 
 Action = (
@@ -132,6 +137,8 @@
     | ReplyToCommand
     | AnnounceBundle
     | AnnounceLeadership
+    | ReportEntryStored
+    | ReportEntryCommitted
     | ProposeCommand
     | CommitCommand
     | ConfirmBundleInForce
@@ -204,6 +211,8 @@
         self.placement = PlacementController(board)
         self.quarantine = QuarantineController(board)
         self._logged_causes: tuple[CrashCause, ...] = ()
+        self._pushes = PushLog(logger)
+        self._logged_may_lead = False
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
         self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
@@ -418,6 +427,8 @@
         if expired:
             self._log_limits(expired, "expired")
         self._log_quarantine()
+        self._log_may_lead(now)
+        self._pushes.flush(now)
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
     def _log_limits(self, targets: Iterable[str], source: str) -> None:
@@ -436,6 +447,16 @@
         limited = sum(limit.rate is not None for limit in limits.values())
         self.metrics.limited_targets.set(limited)
 
+    def _log_may_lead(self, now: float) -> None:
+        """Log when this instance gains or loses the lease of the control log."""
+        control = self.board.read(CONTROL)
+        may_lead = control.may_lead(now)
+        if may_lead != self._logged_may_lead:
+            self._logged_may_lead = may_lead
+            self.logger.info(
+                "control_lease_changed", term=control.term, is_held=may_lead
+            )
+
     def _log_quarantine(self) -> None:
         """Log the sets of prompt parts that are refused, when they change."""
         causes = self.quarantine.view.causes
@@ -559,6 +580,14 @@
             return
         match COMMAND_CODEC.decode(request.command):
             case Success(command):
+                if len(request.command) >= _LARGE_COMMAND_BYTES:
+                    self.logger.info(
+                        "large_command_submitted",
+                        kind=type(command).__name__,
+                        request=request.request_id,
+                        requester=sender,
+                        bytes=len(request.command),
+                    )
                 self.post_control(
                     CommandSubmitted(
                         request.request_id, sender, command, _clock.wall_time()
@@ -571,6 +600,8 @@
         for action in actions:
             match action:
                 case SendToPeer():
+                    if isinstance(action.message, LeaseGrant):
+                        self._pushes.add(action.message)
                     self.send(action.instance, action.message)
                 case ReplyToCommand():
                     self._reply_to_command(action)
@@ -580,6 +611,21 @@
                     self.logger.info(
                         "leadership", term=action.term, is_leader=action.is_leader
                     )
+                case ReportEntryStored():
+                    self.logger.info(
+                        "large_entry_stored",
+                        log_index=action.log_index,
+                        term=action.term,
+                        bytes=action.size,
+                        is_leader=action.is_leader,
+                    )
+                case ReportEntryCommitted():
+                    self.logger.info(
+                        "large_entry_committed",
+                        log_index=action.log_index,
+                        elapsed=round(action.elapsed, 3),
+                        is_leader=action.is_leader,
+                    )
                 case ProposeCommand():
                     self.post_control(
                         CommandSubmitted("", "", action.command, _clock.wall_time())
