--- a/packages/heathertack/src/heathertack/controllers/tests/test_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_control_log.py
@@ -9,7 +9,14 @@
     rule,
 )
 
+from heathertack.controllers import (
+    CommandSubmitted,
+    ProposalsDue,
+    ReportEntryCommitted,
+    ReportEntryStored,
+)
 from heathertack.controllers.tests.control_cluster import ControlCluster
+from heathertack.state import ClaimCall
 
 INSTANCE_NAMES = st.sampled_from("abc")
 
@@ -180,3 +187,19 @@
         log = cluster.nodes[cluster.run_until_leader_elected()].log
         assert log is not None
         assert "b/s1" not in log.replica.membership.replicas
+
+
+class TestReportsOfLargeEntries:
+    @pytest.mark.parametrize(("size", "reports"), [(1024, 0), (128 * 1024, 1)])
+    def test_only_large_entries_are_reported(self, size: int, reports: int) -> None:
+        cluster = ControlCluster(1)
+        log = cluster.nodes[cluster.run_until_leader_elected()].log
+        assert log is not None
+        now = cluster.clock(cluster.nodes["a"])
+        command = ClaimCall("school", "k" * size, "portal", "digest", "c", "e", 1)
+        log.handle(CommandSubmitted("request", "", command, now), now)
+        actions = log.handle(ProposalsDue(), now)
+        stored = [a for a in actions if isinstance(a, ReportEntryStored)]
+        committed = [a for a in actions if isinstance(a, ReportEntryCommitted)]
+        assert (len(stored), len(committed)) == (reports, reports)
+        assert all(report.size > size and report.is_leader for report in stored)
