Send no new work to targets that say in their answers that they leave

What callers saw: nothing yet.

Cause: whether a target takes work was decided by the leader's table alone.

LeavingTargetsController keeps on the blackboard (LEAVING_TARGETS) which targets said so, by name and address, in answers, refusals, reports and answers to calls that copy KV caches. The lease holder writes TARGETS from the leader's table (now LISTED_TARGETS) and these, so that everything that reads TARGETS agrees: admission owner, entry, moves, resumptions. An instance also names such targets as excluded in its requests and checks the choice of the owner, backups and destinations of moves again right before it sends. It tells the leader with TargetReport, again while the table calls the target live. What a target said ends with its lifetime: gone from the table for 5 s, another address, or a report of a later start (born) that does not say so. The leader forgets a report when the list goes from leaving to live, or to another address.

Answers with status 421 are left out, since they speak of another target, and answers to another request, since it is not known whom they speak of. Answers without an id count: a connection carries one request only, and any other target would refuse it.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -89,10 +89,27 @@
     known_at: float
 
 
+class LeavingTarget(NamedTuple):
+    """A target that says in its answers that it is about to leave."""
+
+    #: ``ip:port`` that said so.
+    address: str
+    #: Time at which it last said so, monotonic clock, seconds.
+    known_at: float
+    #: Start of its process, Unix clock, seconds; ``None`` if unknown.
+    started_at: float | None = None
+
+
 BUNDLE: Section[BundleView] = Section("bundle", BundleView())
 LEASE: Section[LeaseView] = Section("lease", LeaseView())
 MEMBERS: Section[Mapping[str, MemberRecord]] = Section("members", {})
+#: Targets as the leader's table lists them.
+LISTED_TARGETS: Section[Mapping[str, TargetRecord]] = Section("listed_targets", {})
+#: The listed targets; those that say that they leave are leaving here, whatever the
+#: leader's table says.
 TARGETS: Section[Mapping[str, TargetRecord]] = Section("targets", {})
+#: Leaving targets by name, as they told this instance.
+LEAVING_TARGETS: Section[Mapping[str, LeavingTarget]] = Section("leaving_targets", {})
 #: Software version by the name of the target; empty if the leader publishes none.
 TARGET_VERSIONS: Section[Mapping[str, str]] = Section("target_versions", {})
 SUSPECTS: Section[Mapping[str, int]] = Section("suspects", {})
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -123,6 +123,7 @@
     LeaseDue,
     LeaseGrantReceived,
     LeaseHolderController,
+    LeavingTargetsChanged,
     ReportedStateChanged,
     TargetVersionsReceived,
 )
@@ -131,6 +132,14 @@
     LeaseTimings,
     derive_lease_timings,
 )
+from heathertack.controllers._leaving_targets import (
+    LeavingTargetsController,
+    LeavingTargetsDue,
+    TargetReported,
+    TargetSaidLeaving,
+    accepts_new_work,
+    list_leaving_targets,
+)
 from heathertack.controllers._loss_suspects import (
     find_surplus_records,
     list_suspects,
@@ -259,6 +268,9 @@
     "LeaseRequested",
     "LeaseTimings",
     "LeavingStarted",
+    "LeavingTargetsChanged",
+    "LeavingTargetsController",
+    "LeavingTargetsDue",
     "LimitObserved",
     "LimitsDue",
     "LinkClosed",
@@ -335,7 +347,9 @@
     "TargetLimitController",
     "TargetLossReceived",
     "TargetLossReported",
+    "TargetReported",
     "TargetResponded",
+    "TargetSaidLeaving",
     "TargetSucceeded",
     "TargetUncordoned",
     "TargetUnreachable",
@@ -346,6 +360,7 @@
     "UncordonTarget",
     "WatchPlan",
     "WeightsReported",
+    "accepts_new_work",
     "can_copy",
     "choose_addresses",
     "derive_lease_timings",
@@ -356,6 +371,7 @@
     "instance_of",
     "is_ready",
     "list_incompatible_targets",
+    "list_leaving_targets",
     "list_suspects",
     "part_fingerprint",
     "partition_targets",
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -297,7 +297,8 @@
         self, event: PlatformTargetsListed, control: ControlView, now: float
     ) -> tuple[Action, ...]:
         names = {target.name for target in event.targets}
-        self._reported_leaving &= names
+        restarted = {t.name for t in event.targets if self._has_restarted(t)}
+        self._reported_leaving = (self._reported_leaving & names) - restarted
         self._listed = {target.name: target for target in event.targets}
         changed = False
         for name in names:
@@ -311,6 +312,18 @@
                 changed |= self._targets.put(name, gone)
         return self._push_to_holders(control, now) if changed else ()
 
+    def _has_restarted(self, target: TargetRecord) -> bool:
+        """Return whether a listed target is another lifetime than the one before.
+
+        A target that leaves never stays.
+        """
+        before = self._listed.get(target.name)
+        if before is None:
+            return False
+        had_left = before.state is TargetState.LEAVING
+        is_live = target.state is TargetState.LIVE
+        return (had_left and is_live) or before.address != target.address
+
     def _put_target(self, name: str) -> bool:
         """Set the state of a listed target and return whether it changed.
 
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
@@ -9,6 +10,8 @@
     CONTROL,
     DRAIN,
     LEASE,
+    LEAVING_TARGETS,
+    LISTED_TARGETS,
     MEMBERS,
     SUSPECTS,
     TARGET_VERSIONS,
@@ -28,6 +31,7 @@
 )
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._lease_timings import LeaseTimings
+from heathertack.controllers._leaving_targets import apply_leaving_targets
 from heathertack.messages import (
     BundlePush,
     LeaderHint,
@@ -35,6 +39,7 @@
     LeaseRequest,
     MemberState,
     TableVersion,
+    TargetRecord,
     TargetState,
     TargetVersions,
 )
@@ -67,12 +72,17 @@
     hint: LeaderHint
 
 
+class LeavingTargetsChanged(NamedTuple):
+    """Another target said that it leaves, or the lifetime of one that did has ended."""
+
+
 Event = (
     LeaseDue
     | ReportedStateChanged
     | LeaseGrantReceived
     | TargetVersionsReceived
     | LeaderHintReceived
+    | LeavingTargetsChanged
 )
 
 #: Interval at which the full tables are requested while a version is missing, seconds.
@@ -103,10 +113,11 @@
         Intervals, seconds.
     """
 
-    READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL, DRAIN)
+    READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL, DRAIN, LEAVING_TARGETS)
     WRITES: ClassVar[tuple[Section[Any], ...]] = (
         BUNDLE,
         LEASE,
+        LISTED_TARGETS,
         MEMBERS,
         SUSPECTS,
         TARGET_VERSIONS,
@@ -169,6 +180,9 @@
                 return self._apply_versions(event.versions)
             case LeaderHintReceived():
                 return self._handle_hint(event.hint, now)
+            case LeavingTargetsChanged():
+                self._write_targets(self._board.read(LISTED_TARGETS))
+                return ()
             case _:
                 assert_never(event)
 
@@ -314,11 +328,11 @@
         known_members = self._board.read(MEMBERS)
         members = {} if replaces_tables else dict(known_members)
         members.update({record.instance: record for record in grant.members})
-        known_targets = self._board.read(TARGETS)
+        known_targets = self._board.read(LISTED_TARGETS)
         targets = {} if replaces_tables else dict(known_targets)
         targets.update({record.name: record for record in grant.targets})
         self._board.write(self, MEMBERS, members)
-        self._board.write(self, TARGETS, targets)
+        self._write_targets(targets)
         if replaces_tables:
             self._forget_versions()
         if grant.suspects is not None:
@@ -326,6 +340,12 @@
         if grant.is_settled or not grant.is_full:
             self._table = grant.table
 
+    def _write_targets(self, listed: Mapping[str, TargetRecord]) -> None:
+        """Write the listed targets, and with the states that they tell themselves."""
+        leaving = self._board.read(LEAVING_TARGETS)
+        self._board.write(self, LISTED_TARGETS, listed)
+        self._board.write(self, TARGETS, apply_leaving_targets(listed, leaving))
+
 
 def _unpack_push(push: BundlePush | None, current: BundleView) -> Bundle | None:
     """Return the pushed bundle, ``None`` if it does not apply to the current one."""
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -7,7 +7,11 @@
 from heathertackd._disk import FolderDisk
 from heathertackd._frontend import Frontend, FrontendFactory
 from heathertackd._instance import Instance
-from heathertackd._leaving_watcher import LeavingReporter, LeavingWatcher
+from heathertackd._leaving_watcher import (
+    LeavingReport,
+    LeavingReporter,
+    LeavingWatcher,
+)
 from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._response_bodies import ResponseTooLargeError, read_limited
 from heathertackd._retry_allowance import RetryAllowance
@@ -21,6 +25,7 @@
     "Frontend",
     "FrontendFactory",
     "Instance",
+    "LeavingReport",
     "LeavingReporter",
     "LeavingWatcher",
     "ListedTarget",
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -13,6 +13,8 @@
     CONTROL,
     DRAIN,
     LEASE,
+    LEAVING_TARGETS,
+    LISTED_TARGETS,
     TARGET_LIMITS,
     Blackboard,
 )
@@ -47,6 +49,9 @@
     LeaseHolderController,
     LeaseRequested,
     LeaseTimings,
+    LeavingTargetsChanged,
+    LeavingTargetsController,
+    LeavingTargetsDue,
     LimitObserved,
     LimitsDue,
     OriginDetermined,
@@ -78,6 +83,8 @@
     TargetLeavingReported,
     TargetLimitController,
     TargetLossReceived,
+    TargetReported,
+    TargetSaidLeaving,
     TargetVersionsReceived,
     TimePassed,
     derive_lease_timings,
@@ -107,6 +114,7 @@
     StreamOrigins,
     TargetRates,
     TargetReport,
+    TargetState,
     TargetVersions,
 )
 from heathertack.policy import ADMISSION_TUNING, AdmissionTuning, CrashCause
@@ -207,6 +215,7 @@
         self.drain = self._build_drain()
         self.health = TargetHealthController(board)
         self.limits = TargetLimitController(board)
+        self.leaving_targets = LeavingTargetsController(board)
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board)
         self.quarantine = QuarantineController(board)
@@ -335,6 +344,27 @@
             observed = LimitObserved(answer.target)
             self._carry_out(self.placement.handle(observed, now))
 
+    def record_leaving_target(self, target: str, address: str) -> None:
+        """Record that a target said in an answer that it is about to leave."""
+        said = TargetSaidLeaving(target, address)
+        changed = self.leaving_targets.handle(said, _clock.monotonic())
+        self._apply_leaving_targets(changed, "answer")
+        if changed:
+            self._report_leaving_target(target)
+
+    def record_leaving_address(self, address: str) -> None:
+        """Record that the target at an address said that it is about to leave."""
+        for target in tuple(self.board.read(LISTED_TARGETS).values()):
+            if target.address == address and target.state is not TargetState.GONE:
+                self.record_leaving_target(target.name, address)
+
+    def record_target_report(self, report: TargetReported) -> None:
+        """Record whether a target that was asked is about to leave."""
+        changed = self.leaving_targets.handle(report, _clock.monotonic())
+        self._apply_leaving_targets(changed, "report")
+        if report.is_leaving:
+            self._report_leaving_target(report.target)
+
     def announce_leaving(self) -> None:
         """Report to the leader at once that callers must use other instances."""
         now = _clock.monotonic()
@@ -426,11 +456,34 @@
         expired = self.limits.handle(LimitsDue(), now)
         if expired:
             self._log_limits(expired, "expired")
+        gone = self.leaving_targets.handle(LeavingTargetsDue(), now)
+        self._apply_leaving_targets(gone, "table")
         self._log_quarantine()
         self._log_may_lead(now)
         self._pushes.flush(now)
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
+    def _apply_leaving_targets(self, changed: Iterable[str], source: str) -> None:
+        """Apply changed beliefs to the table of targets, and log them."""
+        if not changed:
+            return
+        now = _clock.monotonic()
+        self._carry_out(self.lease_holder.handle(LeavingTargetsChanged(), now))
+        leaving = self.board.read(LEAVING_TARGETS)
+        for target in changed:
+            event = "target_leaves" if target in leaving else "target_leaving_ended"
+            leader = self.board.read(LEASE).leader
+            self.logger.info(event, target=target, source=source, leader=leader)
+
+    def _report_leaving_target(self, target: str) -> None:
+        """Report a leaving target to the leader, if its table may call it live."""
+        record = self.board.read(LISTED_TARGETS).get(target)
+        if record is not None and record.state is not TargetState.LIVE:
+            return
+        leader = self._find_leader()
+        if leader:
+            self.send(leader, TargetReport(target))
+
     def _log_limits(self, targets: Iterable[str], source: str) -> None:
         """Log the rates of targets whose limits have changed, and who told them."""
         limits = self.board.read(TARGET_LIMITS)
--- a/packages/heathertackd/src/heathertackd/_leaving_watcher.py
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -3,28 +3,42 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from returns.result import Failure, Result
 
-from heathertack.blackboard import LEASE
-from heathertack.controllers import WatchPlan
-from heathertack.messages import TargetRecord, TargetReport, TargetState
+from heathertack.controllers import TargetReported, WatchPlan
+from heathertack.messages import TargetRecord, TargetState
+from heathertackd import _clock
 from heathertackd._instance import Instance
 
+#: Interval at which leaving engines are asked again while the leader calls them live,
+#: seconds: it may have lost the report, or they may have started again.
+_CONTRADICTION_INTERVAL_SECONDS = 2.0
+
+
+class LeavingReport(NamedTuple):
+    """What an engine reports of its lifetime."""
+
+    #: Whether it is about to leave.
+    is_leaving: bool
+    #: Start of its process, Unix clock, seconds; ``None`` if it names none.
+    started_at: float | None = None
+
 
 class LeavingReporter(Protocol):
     """Queries engines for whether they are about to leave."""
 
-    async def is_leaving(self, address: str) -> Result[bool, str]:
-        """Return whether the engine at an address is about to leave."""
+    async def fetch(self, address: str) -> Result[LeavingReport, str]:
+        """Return what the engine at an address reports, or why it can't be read."""
         ...
 
 
 class LeavingWatcher:
-    """Polls this instance's share of the engines.
+    """Polls this instance's share of the engines, and leaving ones listed as live.
 
-    ``WatchPlan`` divides the engines among the instances.
+    ``WatchPlan`` divides the engines among the instances. What an engine said to this
+    instance only this instance can check, so it asks again itself.
 
     Parameters
     ----------
@@ -43,27 +57,41 @@
         self._reporter = reporter
         self._interval = interval
         self._plan = WatchPlan(instance.board, instance.name)
+        self._next_contradictions_at = float("-inf")
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
             engines = [t for t in self._plan.list_watched() if _is_live(t)]
+            engines.extend(self._list_contradicted())
             await asyncio.gather(*(self._poll(engine) for engine in engines))
             await asyncio.sleep(self._interval)
 
+    def _list_contradicted(self) -> tuple[TargetRecord, ...]:
+        now = _clock.monotonic()
+        if now < self._next_contradictions_at:
+            return ()
+        self._next_contradictions_at = now + _CONTRADICTION_INTERVAL_SECONDS
+        return self._instance.leaving_targets.list_contradicted(now)
+
     async def _poll(self, engine: TargetRecord) -> None:
-        result = await self._reporter.is_leaving(engine.address)
+        requested_at = _clock.monotonic()
+        result = await self._reporter.fetch(engine.address)
         if isinstance(result, Failure):
             self._instance.logger.info(
                 "engine_report_missing", target=engine.name, detail=result.failure()
             )
             return
-        if not result.unwrap():
-            return
-        leader = self._instance.board.read(LEASE).leader
-        self._instance.logger.info("target_leaves", target=engine.name, leader=leader)
-        if leader:
-            self._instance.send(leader, TargetReport(engine.name))
+        report: LeavingReport = result.unwrap()
+        self._instance.record_target_report(
+            TargetReported(
+                engine.name,
+                engine.address,
+                report.is_leaving,
+                report.started_at,
+                requested_at,
+            )
+        )
 
 
 def _is_live(target: TargetRecord) -> bool:
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -82,6 +82,8 @@
     has_not_run: bool
     #: Headers that are passed to the caller unchanged.
     headers: CIMultiDict[str]
+    #: Whether the target says that it is about to leave.
+    is_target_leaving: bool = False
     #: Number of requests a second that the target accepts from all instances
     #: together, ``None`` if it names no limit; or why the limit can't be read.
     request_rate: Result[float | None, str] = Success(None)
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -24,8 +24,10 @@
     TargetLossReported,
     TargetSucceeded,
     TokensGenerated,
+    accepts_new_work,
     can_copy,
     find_version,
+    list_leaving_targets,
 )
 from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
 from heathertackd import _clock
@@ -75,6 +77,9 @@
 _HAND_OVER_TIMEOUT_SECONDS = 0.5
 #: Number of targets that may be unreachable before a request is refused.
 _MAX_CONNECTION_FAILURES = 4
+#: Number of placements at leaving targets that are replaced at once; an admission owner
+#: that knows of no other target may repeat its choice.
+_MAX_LEAVING_CHOICES = 3
 
 _OUTCOMES = {
     ExchangeFailure.NOT_SENT: ReservationOutcome.UNREACHABLE,
@@ -117,6 +122,8 @@
         #: Number of targets that failed during the request while they were live.
         self._break_count = 0
         self._excluded_targets: tuple[str, ...] = ()
+        #: Number of placements at targets that leave.
+        self._leaving_choice_count = 0
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
         self._placement: TargetChosen | None = None
         self._has_placement = False
@@ -260,9 +267,12 @@
         """Return a placement without a backup that could not continue the stream."""
         if not placement.backup:
             return placement
-        if can_copy(self._instance.board, placement.target, placement.backup):
+        board = self._instance.board
+        can_continue = can_copy(board, placement.target, placement.backup)
+        if can_continue and accepts_new_work(board, placement.backup):
             return placement
-        self._log("copy_dropped", keeper=placement.backup, detail="other version")
+        detail = "the keeper leaves" if can_continue else "other version"
+        self._log("copy_dropped", keeper=placement.backup, detail=detail)
         usable = placement._replace(backup="")
         self._placement = usable
         return usable
@@ -286,7 +296,11 @@
     async def _obtain_placement(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
-        """Return the placement of a moved run, or request a new placement."""
+        """Return the placement of a moved run, or request a new placement.
+
+        A moved run is already at its new target, which holds the copy that no other
+        target can continue from, so it goes on there even if that target leaves.
+        """
         if continuation is None or continuation.placement is None:
             return await self._request_placement(continuation)
         self._release(ReservationOutcome.CANCELLED)
@@ -307,6 +321,13 @@
         """
         while True:
             decision = await self._request_placement_once(continuation)
+            if isinstance(decision, TargetChosen):
+                denial = self._reject_leaving_target(decision)
+                if denial is None:
+                    return decision
+                if self._leaving_choice_count <= _MAX_LEAVING_CHOICES:
+                    continue
+                decision = denial
             waited = _clock.monotonic() - self._spec.received_at
             is_unknown = (
                 isinstance(decision, PlacementDenied) and decision.code == "no_target"
@@ -315,6 +336,27 @@
                 return decision
             await asyncio.sleep(_TARGET_LIST_POLL_SECONDS)
 
+    def _reject_leaving_target(self, placement: TargetChosen) -> PlacementDenied | None:
+        """Release a placement at a target that takes no new work, and return why.
+
+        The admission owner that chose the target may not know that it leaves.
+        """
+        target = placement.target
+        targets = self._instance.board.read(TARGETS)
+        if target not in targets or accepts_new_work(self._instance.board, target):
+            return None
+        self._log("placement_rejected", target=target, detail="the target leaves")
+        self._leaving_choice_count += 1
+        self._excluded_targets = (*self._excluded_targets, target)
+        self._release(ReservationOutcome.REJECTED)
+        return PlacementDenied(
+            self._placement_key,
+            self._attempt,
+            "no_target",
+            _RETRY_AFTER_SECONDS,
+            f"the chosen target {target} leaves",
+        )
+
     async def _request_placement_once(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
@@ -325,12 +367,18 @@
         self._decision = asyncio.get_running_loop().create_future()
         now = _clock.monotonic()
         excluded = dict.fromkeys(
-            (*self._excluded_targets, *self._version.list_excluded())
+            (
+                *self._excluded_targets,
+                *self._version.list_excluded(),
+                *list_leaving_targets(self._instance.board, self._spec.service),
+            )
         )
         reservation = build_reservation(self._spec, self._attempt, tuple(excluded), now)
         if continuation is not None:
+            keeper = continuation.target
+            accepts_run = accepts_new_work(self._instance.board, keeper)
             reservation = reservation._replace(
-                preferred_target=continuation.target,
+                preferred_target=keeper if accepts_run else "",
                 max_wait=max(self._spec.deadline - now, 0.0),
             )
         requested = PlacementRequested(reservation)
--- a/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -24,6 +24,8 @@
 _NOT_RUN = "X-Heathertack-Not-Run"
 #: Number of requests a second that the target accepts from all instances together.
 _REQUEST_RATE = "X-Heathertack-Request-Rate"
+#: ``1`` from a target that is about to leave.
+_LEAVING = "X-Heathertack-Leaving"
 _OWN_HEADERS = frozenset(
     {"authorization", _TIMEOUT.lower(), _TARGET.lower(), _ACCOUNT.lower()}
 )
@@ -79,6 +81,7 @@
             request_id,
             is_signed=bool(request_id),
             has_not_run=_NOT_RUN in headers,
+            is_target_leaving=headers.get(_LEAVING) == "1",
             headers=copy_end_to_end(headers),
             request_rate=read_request_rate(_REQUEST_RATE, headers),
         )
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -14,6 +14,7 @@
     PlacementEnded,
     PlacementRequested,
     TargetChosen,
+    accepts_new_work,
     can_copy,
 )
 from heathertack.messages import (
@@ -28,7 +29,8 @@
 
 #: Delay before a failed move is retried, seconds.
 _RETRY_SECONDS = 0.5
-#: Delay after the destination had no room, seconds: the retry goes to another target.
+#: Delay after the destination had no room or began to leave, seconds: the retry goes to
+#: another target.
 _DESTINATION_FULL_RETRY_SECONDS = 0.05
 #: Maximum wait for a placement: the moves from one engine run one after the other, and
 #: the engine stops one to two seconds after its notice.
@@ -130,6 +132,10 @@
                 detail = f"{decision.target} has another software version"
                 self._log("stream_not_moved", source=old.target, detail=detail)
                 return None
+            if self._rejects_destination(old.target, decision.target):
+                return None
+            if decision.backup and self._is_leaving(decision.backup):
+                decision = decision._replace(backup="")
             if not decision.backup and not self._is_leaving(old.target):
                 detail = "no target has room for a backup"
                 self._log("stream_not_moved", source=old.target, detail=detail)
@@ -168,6 +174,8 @@
         if isinstance(copy_result, Failure):
             self._record_failure(placement, source, copy_result.failure())
             return None
+        if self._rejects_destination(source, placement.target):
+            return None
         hand_over_result = await self._mover.hand_over(
             origin.address, self._request_id, destination.address
         )
@@ -179,6 +187,19 @@
             placement.target, origin.address, hand_over_result.unwrap(), placement
         )
 
+    def _rejects_destination(self, source: str, destination: str) -> bool:
+        """Return whether a move must not go to its destination, which leaves.
+
+        The admission owner that chose it may not know that.
+        """
+        if accepts_new_work(self._instance.board, destination):
+            return False
+        self._outcome = ReservationOutcome.REJECTED
+        self._next_start_at = _clock.monotonic() + _DESTINATION_FULL_RETRY_SECONDS
+        detail = f"{destination} leaves"
+        self._log("stream_not_moved", source=source, to=destination, detail=detail)
+        return True
+
     def _record_failure(
         self, placement: TargetChosen, source: str, failure: MoveFailure
     ) -> None:
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
@@ -10,7 +10,7 @@
 
 
 class TargetAnswers:
-    """Reports the limits that targets name to the controllers of an instance.
+    """Reports what targets say of themselves to the controllers of an instance.
 
     Parameters
     ----------
@@ -36,3 +36,7 @@
             # Targets may refuse requests without their usual headers.
             return
         self._instance.record_target_answer(TargetAnswered(target, rate, sent_at))
+
+    def handle_leaving(self, target: str, address: str) -> None:
+        """Handle an answer in which a target says that it is about to leave."""
+        self._instance.record_leaving_target(target, address)
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -95,6 +95,18 @@
         """
         ...
 
+    def handle_leaving(self, target: str, address: str) -> None:
+        """Handle an answer in which a target says that it is about to leave.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        address : str
+            ``ip:port`` of the target.
+        """
+        ...
+
 
 class TargetResponse:
     """A response whose header has arrived.
@@ -249,6 +261,8 @@
         head = target_response.head
         if head.request_id == request.request_id and head.status != _WRONG_TARGET:
             self._listener.handle_answer(request.target, head, sent_at)
+        if head.is_target_leaving and _is_from_target(head, request):
+            self._listener.handle_leaving(request.target, request.address)
         exchange_error = _find_error(head, request.request_id)
         if exchange_error is not None:
             target_response.close()
@@ -256,6 +270,17 @@
         return Success(target_response)
 
 
+def _is_from_target(head: ResponseHead, request: TargetRequest) -> bool:
+    """Return whether an answer comes from the target that a request was meant for.
+
+    An answer without an id does, since its connection carried only this request and
+    any other target at the address would have refused it. Such a refusal speaks of the
+    other target, and it is not known whom an answer to another request speaks of.
+    """
+    is_refused_by_other = head.status == _WRONG_TARGET
+    return not is_refused_by_other and head.request_id in ("", request.request_id)
+
+
 def _find_error(head: ResponseHead, request_id: str) -> ExchangeError | None:
     """Return why a response can't be delivered, ``None`` if it can."""
     if head.has_not_run:
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -120,14 +120,18 @@
     return script
 
 
-def stream(*events: int, breaks: bool = False, rest: bytes = b"") -> Script:
+def stream(
+    *events: int, breaks: bool = False, rest: bytes = b"", is_leaving: bool = False
+) -> Script:
     """Return a script that streams numbered events, complete or broken off."""
 
     async def script(received: Received, writer: asyncio.StreamWriter) -> None:
         request_id = received.headers["X-Request-Id"]
+        leaving = b"X-Heathertack-Leaving: 1\r\n" if is_leaving else b""
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\nX-Request-Id: "
+            + leaving
+            + b"Transfer-Encoding: chunked\r\nX-Request-Id: "
             + request_id.encode()
             + b"\r\n\r\n"
         )
