Send targets nothing while their Retry-After runs

What callers saw: an instance went on sending requests to a target that had turned one away with 503 and Retry-After; they were turned away one after the other.

Cause: the header was not read. Each answer made the admission owner avoid the target for a second at most.

Each instance now keeps the time until which it sends a target nothing, from each 503 with Retry-After, and checks it for first tries, retries, backups, moves, resumptions, reports and the freeing of copies. Admission owners get the pauses of an entry instance in a message of its own (TargetPauses) and assign it no such target. If all live targets pause, the caller is refused at once and told when the first may be used. A pause is no failure of the target.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -118,3 +118,6 @@
 #: Limits by the name of the target, without those that never named one.
 TARGET_LIMITS: Section[Mapping[str, TargetLimit]] = Section("target_limits", {})
 TARGET_HEALTH: Section[Mapping[str, TargetHealth]] = Section("target_health", {})
+#: Time until which this instance sends a target nothing, monotonic clock, seconds, by
+#: the name of the target.
+TARGET_PAUSES: Section[Mapping[str, float]] = Section("target_pauses", {})
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -24,6 +24,7 @@
     CacheEventReceived,
     LoadReportMissed,
     LoadReportReceived,
+    PausesReceived,
     ProgressReceived,
     ReleaseReceived,
     ReservationReceived,
@@ -209,6 +210,13 @@
     TargetAnswered,
     TargetLimitController,
 )
+from heathertack.controllers._target_pauses import (
+    PauseRequested,
+    PausesDue,
+    TargetPauseController,
+    find_pause,
+    find_service_pause,
+)
 from heathertack.controllers._watch_plan import WatchPlan
 
 __all__ = [
@@ -291,6 +299,9 @@
     "OriginsReceived",
     "OutcomeRecorded",
     "OwnerReplied",
+    "PauseRequested",
+    "PausesDue",
+    "PausesReceived",
     "Placed",
     "PlacementController",
     "PlacementDenied",
@@ -347,6 +358,7 @@
     "TargetLimitController",
     "TargetLossReceived",
     "TargetLossReported",
+    "TargetPauseController",
     "TargetReported",
     "TargetResponded",
     "TargetSaidLeaving",
@@ -364,6 +376,8 @@
     "can_copy",
     "choose_addresses",
     "derive_lease_timings",
+    "find_pause",
+    "find_service_pause",
     "find_surplus_records",
     "find_usable_targets",
     "find_version",
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -24,6 +24,7 @@
     CacheEventReceived,
     LoadReportMissed,
     LoadReportReceived,
+    PausesReceived,
     ProgressReceived,
     ReleaseReceived,
     ReservationReceived,
@@ -34,6 +35,7 @@
     AddressedReply,
     TargetCapacity,
 )
+from heathertack.controllers._instance_pauses import InstancePauses
 from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._software_versions import find_version
 from heathertack.messages import (
@@ -96,6 +98,7 @@
         #: Failure domains of the instances that accept work.
         self._live_domains: Mapping[str, str] = {}
         self._sharing = LimitSharing(board)
+        self._pauses = InstancePauses()
         self._owned_groups: frozenset[str] = frozenset()
         self._gone_instances: frozenset[str] = frozenset()
         board.register(self)
@@ -156,6 +159,9 @@
             case CacheEventReceived():
                 self._record_cache_event(event)
                 return ()
+            case PausesReceived():
+                self._pauses.record(event.instance, event.pauses, now)
+                return ()
             case AdmissionDue():
                 return self._expire_and_dispatch(now)
             case _:
@@ -210,6 +216,7 @@
             )
 
     def _expire_and_dispatch(self, now: float) -> tuple[SendToPeer, ...]:
+        self._pauses.forget(now)
         replies = list(self._inform_successors(now))
         for name, group in tuple(self._groups.items()):
             replies.extend(
@@ -237,7 +244,9 @@
     def _get_or_create_group(self, name: str, now: float) -> AdmissionGroup:
         group = self._groups.get(name)
         if group is None:
-            group = AdmissionGroup(name, self._tuning, self._estimator, now)
+            group = AdmissionGroup(
+                name, self._tuning, self._estimator, now, self._pauses
+            )
             self._groups[name] = group
             self._set_targets(group)
             self._set_rates(group, now)
--- a/packages/heathertack/src/heathertack/controllers/_admission_events.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_events.py
@@ -11,6 +11,7 @@
     ReservationProgress,
     ReservationRelease,
     ReservationRequest,
+    TargetPauses,
 )
 
 
@@ -71,6 +72,14 @@
     evicted: tuple[int, ...]
 
 
+class PausesReceived(NamedTuple):
+    """An entry instance told which targets it may not use."""
+
+    #: Entry instance that sent it.
+    instance: str
+    pauses: TargetPauses
+
+
 class AdmissionDue(NamedTuple):
     """The clock advanced."""
 
@@ -84,5 +93,6 @@
     | LoadReportReceived
     | LoadReportMissed
     | CacheEventReceived
+    | PausesReceived
     | AdmissionDue
 )
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -11,6 +11,7 @@
     TargetCapacity,
     WaitingRequest,
 )
+from heathertack.controllers._instance_pauses import InstancePauses
 from heathertack.controllers._target_group import TargetGroup
 from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
@@ -55,6 +56,8 @@
         Length estimator, shared by all groups of the instance.
     now : float
         Monotonic clock, seconds.
+    pauses : InstancePauses or None
+        Targets that entry instances may not use; ``None`` for none.
     """
 
     def __init__(
@@ -63,10 +66,12 @@
         tuning: AdmissionTuning,
         estimator: LengthEstimator,
         now: float,
+        pauses: InstancePauses | None = None,
     ) -> None:
         self.name = name
         self._tuning = tuning
         self._estimator = estimator
+        self._pauses = pauses or InstancePauses()
         self._dispatch_from = now + tuning.takeover_delay
         self._queue: FairQueue[WaitingRequest] = FairQueue()
         self._targets = TargetGroup(tuning)
@@ -151,7 +156,8 @@
             return (self._refuse(request, instance, "quarantined", longest, reason),)
         queued = self._queue.remove(request.generation_id)
         user = self._rate_user(instance)
-        if self._targets.accepts(request.preferred_target, user, now):
+        is_paused = request.preferred_target in self._pauses.find(instance, now)
+        if not is_paused and self._targets.accepts(request.preferred_target, user, now):
             waiting = WaitingRequest(request, instance, now, now, losses)
             return (self._place(waiting, request.preferred_target, now),)
         if queued is None and not request.is_running:
@@ -409,7 +415,8 @@
         compared = 0
         candidate = self._predict(request, 0)
         user = self._rate_user(waiting.instance)
-        for target in self._targets.order_candidates(request, user, now):
+        paused = self._pauses.find(waiting.instance, now)
+        for target in self._targets.order_candidates(request, user, now, paused):
             score = self._targets.score(request, target, candidate)
             if score is None:
                 continue
@@ -441,7 +448,8 @@
             return (), None
         best: tuple[int, str, tuple[str, ...]] | None = None
         user = self._rate_user(waiting.instance)
-        for target in self._targets.list_candidates(request, user, now):
+        paused = self._pauses.find(waiting.instance, now)
+        for target in self._targets.list_candidates(request, user, now, paused):
             dropped = self._select_backups_to_drop(request, target)
             if dropped and (best is None or (len(dropped), target) < best[:2]):
                 best = (len(dropped), target, dropped)
@@ -494,7 +502,8 @@
         """Return whether a request waits for memory, not only for prefill."""
         request = waiting.request
         user = self._rate_user(waiting.instance)
-        candidates = self._targets.list_candidates(request, user, now)
+        paused = self._pauses.find(waiting.instance, now)
+        candidates = self._targets.list_candidates(request, user, now, paused)
         return any(self._targets.has_slot(request, target) for target in candidates)
 
     def _has_reservation(self, fingerprint: str) -> bool:
@@ -503,13 +512,16 @@
         return any(request.fingerprint == fingerprint for request in held_requests)
 
     def _choose_backup_target(
-        self, request: ReservationRequest, target: str, now: float
+        self, waiting: WaitingRequest, target: str, now: float
     ) -> str:
         """Return the target for the backup of a generation, empty for none."""
+        request = waiting.request
         is_quiet = now - self._last_memory_wait_at >= self._tuning.backup_quiet_period
         if not request.needs_backup or not is_quiet:
             return ""
-        return self._targets.choose_backup_target(target, self._predict(request, 0))
+        paused = self._pauses.find(waiting.instance, now)
+        entry = self._predict(request, 0)
+        return self._targets.choose_backup_target(target, entry, paused)
 
     def _predict(
         self, request: ReservationRequest, generated_tokens: int
@@ -537,7 +549,7 @@
         request = waiting.request
         ledger = self._targets.find_ledger(target)
         ledger_state = ledger.describe() if ledger is not None else ""
-        backup = self._choose_backup_target(request, target, now)
+        backup = self._choose_backup_target(waiting, target, now)
         if request.is_running:
             endpoints = (*request.excluded, target)
             self._targets.begin_transfer(request.generation_id, endpoints)
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
     MEMBERS,
     TARGET_HEALTH,
     TARGET_LIMITS,
+    TARGET_PAUSES,
     TARGETS,
     Blackboard,
     Section,
@@ -32,6 +34,12 @@
     build_choice,
     build_denial,
 )
+from heathertack.controllers._target_pauses import (
+    deny_paused,
+    find_pause,
+    find_service_pause,
+    list_paused,
+)
 from heathertack.messages import (
     MemberState,
     ProgressItem,
@@ -46,6 +54,9 @@
     ReservationRelease,
     ReservationRequest,
     ReservationUnknown,
+    TargetPause,
+    TargetPauses,
+    TargetState,
 )
 from heathertack.policy import choose_owner
 
@@ -87,6 +98,8 @@
     refused_groups: frozenset[str] = frozenset()
     #: Shortest delay for a retry that a group named, seconds.
     retry_after: float = float("inf")
+    #: Whether the owner has assigned a target that wants no requests at present.
+    has_given_back: bool = False
 
 
 class PlacementController:
@@ -103,6 +116,7 @@
         TARGETS,
         TARGET_HEALTH,
         TARGET_LIMITS,
+        TARGET_PAUSES,
     )
     WRITES: ClassVar[tuple[Section[Any], ...]] = ()
 
@@ -113,6 +127,7 @@
         self._next_progress = 0.0
         self._group_counter = 0
         self._sharing = LimitSharing(board)
+        self._last_pauses: Mapping[str, float] = board.read(TARGET_PAUSES)
         self._chooser = LocalTargetChooser(board)
         board.register(self)
 
@@ -152,7 +167,10 @@
     def _request_target(
         self, request: ReservationRequest, now: float
     ) -> tuple[PlacementAction, ...]:
-        groups = self._list_groups(request)
+        denial = deny_paused(self._board, request, now)
+        if denial is not None:
+            return (denial,)
+        groups = self._list_groups(request, now)
         if not groups:
             return self._choose_locally(request._replace(group=""), now)
         self._group_counter += 1
@@ -170,12 +188,25 @@
     def _ask_owner(
         self, owner: str, request: ReservationRequest, now: float
     ) -> tuple[SendToPeer, ...]:
-        """Return a request, after what its owner must know of limits to serve it."""
+        """Return a request, after what its owner must know of targets to serve it."""
         limits: tuple[SendToPeer, ...] = ()
         if self._board.read(TARGET_LIMITS):
             groups = partition_targets(self._board.read(TARGETS))
             limits = self._sharing.build(owner, groups.get(request.group, ()), now)
-        return (*limits, SendToPeer(owner, request))
+        pauses = self._tell_pauses(owner, request.service, now)
+        return (*limits, *pauses, SendToPeer(owner, request))
+
+    def _tell_pauses(
+        self, owner: str, service: str, now: float
+    ) -> tuple[SendToPeer, ...]:
+        """Tell an owner which targets of a service it must not assign."""
+        paused = list_paused(self._board, service, now)
+        if not paused:
+            return ()
+        pauses = tuple(
+            TargetPause(name, find_pause(self._board, name, now)) for name in paused
+        )
+        return (SendToPeer(owner, TargetPauses(pauses)),)
 
     def _report_limit(self, target: str, now: float) -> tuple[SendToPeer, ...]:
         """Tell the owner of a target its limit."""
@@ -187,19 +218,35 @@
         groups = partition_targets(self._board.read(TARGETS))
         return next((g for g, names in groups.items() if target in names), "")
 
-    def _list_groups(self, request: ReservationRequest) -> list[str]:
-        """Return the groups of a service, those with only excluded targets last."""
+    def _list_groups(self, request: ReservationRequest, now: float) -> list[str]:
+        """Return the groups of a service that have suitable targets.
+
+        Without one, groups with excluded targets are returned before those whose
+        targets all want no requests.
+        """
+        targets = self._board.read(TARGETS)
+        paused = list_paused(self._board, request.service, now)
         groups = {
-            name: targets
-            for name, targets in partition_targets(self._board.read(TARGETS)).items()
+            name: names
+            for name, names in partition_targets(targets).items()
             if name.rpartition(":")[0] == request.service
         }
         suitable = [
             name
-            for name, targets in groups.items()
-            if not set(targets) <= set(request.excluded)
+            for name, names in groups.items()
+            if not set(names) <= {*request.excluded, *paused}
         ]
-        return suitable or list(groups)
+        if not paused:
+            return suitable or list(groups)
+        accepting = [
+            name
+            for name, names in groups.items()
+            if any(
+                targets[target].state is TargetState.LIVE and target not in paused
+                for target in names
+            )
+        ]
+        return [g for g in suitable if g in accepting] or accepting or list(groups)
 
     def _find_owner(self, group: str, now: float) -> str | None:
         """Return the owner of a group, or the next in order if it is unresponsive.
@@ -218,6 +265,9 @@
         self, request: ReservationRequest, now: float
     ) -> tuple[PlacementAction, ...]:
         """Choose a target without an admission owner."""
+        denial = deny_paused(self._board, request, now)
+        if denial is not None:
+            return (denial,)
         counts = Counter(p.target for p in self._placements.values())
         decision = self._chooser.choose(request, counts, now)
         if isinstance(decision, TargetChosen):
@@ -249,6 +299,8 @@
             return _release_unused_grant(event) if is_other else ()
         match reply:
             case ReservationGrant():
+                if find_pause(self._board, reply.target, now):
+                    return self._give_back(placement, event, now)
                 group = reply.group or placement.request.group
                 self._placements[reply.generation_id] = placement._replace(
                     request=placement.request._replace(group=group),
@@ -283,7 +335,7 @@
         request = placement.request
         refused_groups = placement.refused_groups | {request.group}
         retry_after = min(placement.retry_after, refusal.retry_after)
-        groups = [g for g in self._list_groups(request) if g not in refused_groups]
+        groups = [g for g in self._list_groups(request, now) if g not in refused_groups]
         owner = self._find_owner(groups[0], now) if groups else None
         if owner is None or refusal.code not in _GROUP_REFUSALS:
             del self._placements[request.generation_id]
@@ -365,6 +417,7 @@
 
     def _tick(self, now: float) -> tuple[PlacementAction, ...]:
         actions: list[PlacementAction] = []
+        actions.extend(self._apply_pauses(now))
         for placement in tuple(self._placements.values()):
             if not placement.target and now >= placement.next_send:
                 actions.extend(self._resend_request(placement, now))
@@ -374,6 +427,61 @@
             actions.extend(self._report_progress())
         return tuple(actions)
 
+    def _apply_pauses(self, now: float) -> tuple[PlacementAction, ...]:
+        """Tell owners of new pauses, and deny requests that have no target left."""
+        pauses = self._board.read(TARGET_PAUSES)
+        if pauses is self._last_pauses:
+            return ()
+        self._last_pauses = pauses
+        actions: list[PlacementAction] = []
+        waiting = [p for p in self._placements.values() if not p.target]
+        services = {placement.request.service for placement in waiting}
+        paused = {s for s in services if find_service_pause(self._board, s, now)}
+        for placement in waiting:
+            if placement.request.service in paused:
+                actions.extend(self._renew_request(placement, now))
+        owners = {(p.owner, p.request.service) for p in waiting if p.owner}
+        for owner, service in sorted(owners):
+            if service not in paused:
+                actions.extend(self._tell_pauses(owner, service, now))
+        return tuple(actions)
+
+    def _cancel(self, generation_id: str) -> tuple[PlacementAction, ...]:
+        return self._end(PlacementEnded(generation_id, ReservationOutcome.CANCELLED))
+
+    def _give_back(
+        self, placement: _Placement, grant: OwnerReplied, now: float
+    ) -> tuple[PlacementAction, ...]:
+        """Give back a paused target that the owner assigned.
+
+        The owner is asked again at once if it may not have known of the pause, and
+        with the next resending if it was told and has not heeded it.
+        """
+        released = _release_unused_grant(grant)
+        if placement.has_given_back:
+            return released
+        self._placements[placement.request.generation_id] = placement._replace(
+            has_given_back=True,
+            last_contact_at=now,
+            next_send=now + _RESEND_INTERVAL_SECONDS,
+        )
+        return (*released, *self._renew_request(placement, now))
+
+    def _renew_request(
+        self, placement: _Placement, now: float
+    ) -> tuple[PlacementAction, ...]:
+        """Request another target instead of a paused one, or deny the request."""
+        request = placement.request
+        denial = deny_paused(self._board, request, now)
+        if denial is not None:
+            return (*self._cancel(request.generation_id), denial)
+        if not placement.owner:
+            return self._choose_locally(request, now)
+        max_wait = max(placement.deadline - now, 0.0)
+        return self._ask_owner(
+            placement.owner, request._replace(max_wait=max_wait), now
+        )
+
     def _resend_request(
         self, placement: _Placement, now: float
     ) -> tuple[PlacementAction, ...]:
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -119,14 +119,20 @@
         self._transfers.pop(generation_id, None)
 
     def list_candidates(
-        self, request: ReservationRequest, user: RateUser, now: float
+        self,
+        request: ReservationRequest,
+        user: RateUser,
+        now: float,
+        paused: frozenset[str] = frozenset(),
     ) -> tuple[str, ...]:
         """Return the targets that a request may go to.
 
         A running request moves with its KV cache, from the target that it excludes.
-        Targets whose rate is used up are left to later requests.
+        Targets whose rate is used up are left to later requests, and paused ones to
+        requests of other entry instances.
         """
-        usable = tuple(t for t in self._usable if t not in request.excluded)
+        accepting = self._usable - paused
+        usable = tuple(t for t in accepting if t not in request.excluded)
         if request.is_running:
             usable = tuple(
                 target
@@ -134,13 +140,17 @@
                 if all(self._can_copy(source, target) for source in request.excluded)
             )
         if not usable and not request.is_running:
-            usable = tuple(self._usable)
+            usable = tuple(accepting)
         usable = tuple(t for t in usable if self._rates.accepts(t, user, now))
         preferred = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
         return preferred or usable
 
     def order_candidates(
-        self, request: ReservationRequest, user: RateUser, now: float
+        self,
+        request: ReservationRequest,
+        user: RateUser,
+        now: float,
+        paused: frozenset[str] = frozenset(),
     ) -> list[str]:
         """Order targets by cache use, less the prefill that a cached prefix saves."""
         weight = self._tuning.prefix_weight
@@ -151,7 +161,7 @@
             run_penalty = self._tuning.run_weight * ledger.count * ledger.capacity
             return (ledger.cached - weight * saved + run_penalty, target)
 
-        return sorted(self.list_candidates(request, user, now), key=rank)
+        return sorted(self.list_candidates(request, user, now, paused), key=rank)
 
     def score(
         self, request: ReservationRequest, target: str, candidate: LedgerEntry
@@ -205,10 +215,13 @@
         prompt = max(request.prompt_tokens - saved, 0)
         return not waiting or waiting + prompt <= self._tuning.prefill_budget
 
-    def choose_backup_target(self, target: str, backup: LedgerEntry) -> str:
+    def choose_backup_target(
+        self, target: str, backup: LedgerEntry, paused: frozenset[str] = frozenset()
+    ) -> str:
         """Return the target with the most room for a backup, empty if none has room.
 
-        A target with a limited rate might not accept the request that continues there.
+        A target with a limited rate, or a paused one, might not accept the request that
+        continues there.
 
         Parameters
         ----------
@@ -216,11 +229,13 @@
             Target that runs the generation.
         backup : LedgerEntry
             Predicted cache use of the backup.
+        paused : frozenset of str
+            Targets that the entry instance may not use.
         """
         if self._run_load(backup) > self._tuning.backup_load_limit:
             return ""
         candidates: list[tuple[float, str]] = []
-        for other in self._usable - self._rates.limited - {target}:
+        for other in self._usable - self._rates.limited - paused - {target}:
             if not self._can_copy(target, other):
                 continue
             ledger = self._ledgers[other]
--- a/packages/heathertack/src/heathertack/controllers/_target_health.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_health.py
@@ -11,6 +11,7 @@
     Section,
     TargetHealth,
 )
+from heathertack.controllers._target_pauses import find_pause
 from heathertack.messages import TargetRecord, TargetState
 
 _INITIAL_BACKOFF_SECONDS = 0.5
@@ -86,7 +87,8 @@
     """Return the live targets of a service that are not avoided.
 
     If every live target is avoided, all of them are returned, so that failures alone
-    never leave a service without targets.
+    never leave a service without targets. Targets that want no requests for a while are
+    never returned.
 
     Parameters
     ----------
@@ -107,7 +109,9 @@
     live = tuple(
         target
         for target in targets
-        if target.service == service and target.state is TargetState.LIVE
+        if target.service == service
+        and target.state is TargetState.LIVE
+        and not find_pause(board, target.name, now)
     )
     default = TargetHealth()
     usable = tuple(t for t in live if health.get(t.name, default).avoid_until <= now)
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -42,6 +42,7 @@
     TargetVersions,
 )
 from heathertack.messages._target_limits import TargetRate, TargetRates
+from heathertack.messages._target_pauses import TargetPause, TargetPauses
 
 __all__ = [
     "PEER_CODEC",
@@ -75,6 +76,8 @@
     "StreamOriginReply",
     "StreamOrigins",
     "TableVersion",
+    "TargetPause",
+    "TargetPauses",
     "TargetRate",
     "TargetRates",
     "TargetRecord",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -32,6 +32,7 @@
     TargetVersions,
 )
 from heathertack.messages._target_limits import TargetRates
+from heathertack.messages._target_pauses import TargetPauses
 
 
 class MemberState(StrEnum):
@@ -221,6 +222,7 @@
     | StreamOriginQuery
     | StreamOriginReply
     | TargetRates
+    | TargetPauses
 )
 
 #: Codec of the messages between instances.
@@ -253,5 +255,6 @@
         StreamOriginQuery,
         StreamOriginReply,
         TargetRates,
+        TargetPauses,
     )
 )
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -61,6 +61,9 @@
     OriginsDue,
     OriginsReceived,
     OwnerReplied,
+    PauseRequested,
+    PausesDue,
+    PausesReceived,
     PlacementController,
     PlacementDenied,
     PlacementDue,
@@ -83,11 +86,13 @@
     TargetLeavingReported,
     TargetLimitController,
     TargetLossReceived,
+    TargetPauseController,
     TargetReported,
     TargetSaidLeaving,
     TargetVersionsReceived,
     TimePassed,
     derive_lease_timings,
+    find_pause,
     instance_of,
 )
 from heathertack.messages import (
@@ -112,6 +117,7 @@
     StreamOriginQuery,
     StreamOriginReply,
     StreamOrigins,
+    TargetPauses,
     TargetRates,
     TargetReport,
     TargetState,
@@ -138,6 +144,9 @@
 _ENTRY_TICK_SECONDS = 0.1
 #: Minimum size of a submitted command that is logged.
 _LARGE_COMMAND_BYTES = 64 * 1024
+#: Shorter extensions of a pause are not logged: they come with each answer to requests
+#: that were sent together.
+_MIN_LOGGED_PAUSE_SECONDS = 0.1
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
 
 Action = (
@@ -216,6 +225,7 @@
         self.health = TargetHealthController(board)
         self.limits = TargetLimitController(board)
         self.leaving_targets = LeavingTargetsController(board)
+        self.pauses = TargetPauseController(board)
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board)
         self.quarantine = QuarantineController(board)
@@ -304,6 +314,9 @@
                 self.control.receive(sender, message)
             case StreamOrigins() | StreamOriginQuery() | StreamOriginReply():
                 self._handle_origin_message(sender, message, now)
+            case TargetPauses():
+                told = PausesReceived(sender, message)
+                self._carry_out(self.admission.handle(told, now))
             case TargetRates():
                 received = RatesReceived(message)
                 self._log_limits(self.limits.handle(received, now), sender)
@@ -365,6 +378,20 @@
         if report.is_leaving:
             self._report_leaving_target(report.target)
 
+    def record_target_pause(self, target: str, seconds: float) -> None:
+        """Record that a target wants no requests from this instance for a time."""
+        now = _clock.monotonic()
+        before = find_pause(self.board, target, now)
+        pause = self.pauses.handle(PauseRequested(target, seconds), now)
+        if pause - before >= _MIN_LOGGED_PAUSE_SECONDS:
+            self.logger.info(
+                "target_paused",
+                target=target,
+                seconds=round(pause, 3),
+                named=seconds,
+                extended=before > 0.0,
+            )
+
     def announce_leaving(self) -> None:
         """Report to the leader at once that callers must use other instances."""
         now = _clock.monotonic()
@@ -453,6 +480,7 @@
         self._carry_out(self.placement.handle(PlacementDue(), now))
         self._carry_out(self.quarantine.handle(QuarantineDue(), now))
         self._carry_out(self.origins.handle(OriginsDue(), now))
+        self.pauses.handle(PausesDue(), now)
         expired = self.limits.handle(LimitsDue(), now)
         if expired:
             self._log_limits(expired, "expired")
--- a/packages/heathertackd/src/heathertackd/_leaving_watcher.py
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result
 
-from heathertack.controllers import TargetReported, WatchPlan
+from heathertack.controllers import TargetReported, WatchPlan, find_pause
 from heathertack.messages import TargetRecord, TargetState
 from heathertackd import _clock
 from heathertackd._instance import Instance
@@ -64,7 +64,8 @@
         while True:
             engines = [t for t in self._plan.list_watched() if _is_live(t)]
             engines.extend(self._list_contradicted())
-            await asyncio.gather(*(self._poll(engine) for engine in engines))
+            allowed = [engine for engine in engines if self._may_poll(engine)]
+            await asyncio.gather(*(self._poll(engine) for engine in allowed))
             await asyncio.sleep(self._interval)
 
     def _list_contradicted(self) -> tuple[TargetRecord, ...]:
@@ -74,6 +75,9 @@
         self._next_contradictions_at = now + _CONTRADICTION_INTERVAL_SECONDS
         return self._instance.leaving_targets.list_contradicted(now)
 
+    def _may_poll(self, engine: TargetRecord) -> bool:
+        return not find_pause(self._instance.board, engine.name, _clock.monotonic())
+
     async def _poll(self, engine: TargetRecord) -> None:
         requested_at = _clock.monotonic()
         result = await self._reporter.fetch(engine.address)
--- a/packages/heathertackd/src/heathertackd/forwarding/__init__.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/__init__.py
@@ -11,6 +11,7 @@
     PromptPart,
     RequestHead,
     ResponseHead,
+    read_pause,
     read_request_rate,
 )
 from heathertackd.forwarding._forwarder import Forwarder, open_forwarding_session
@@ -35,5 +36,6 @@
     "open_forwarding_session",
     "prevent_resending",
     "read_body",
+    "read_pause",
     "read_request_rate",
 ]
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -9,6 +9,9 @@
 
 Headers = CIMultiDictProxy[str]
 
+_RETRY_AFTER = "Retry-After"
+_UNAVAILABLE_STATUS = 503
+
 
 class PromptPart(NamedTuple):
     """A section of a prompt that other prompts may share as a prefix."""
@@ -87,6 +90,9 @@
     #: Number of requests a second that the target accepts from all instances
     #: together, ``None`` if it names no limit; or why the limit can't be read.
     request_rate: Result[float | None, str] = Success(None)
+    #: Time for which the target wants no more requests from this instance, seconds,
+    #: ``None`` if it names no time; or why the time can't be read.
+    pause: Result[float | None, str] = Success(None)
 
 
 def read_request_rate(name: str, headers: Headers) -> Result[float | None, str]:
@@ -103,6 +109,20 @@
     return Success(rate)
 
 
+def read_pause(status: int, headers: Headers) -> Result[float | None, str]:
+    """Return the time in ``Retry-After`` of a target that is unavailable, if any."""
+    text = headers.get(_RETRY_AFTER)
+    if status != _UNAVAILABLE_STATUS or text is None:
+        return Success(None)
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0.0 <= seconds < float("inf"):
+        return Failure(f"{_RETRY_AFTER} has {text!r}, expected seconds")
+    return Success(seconds)
+
+
 class ForwardingDialect(Protocol):
     """Decodes and encodes the headers of one platform."""
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -26,6 +26,8 @@
     TokensGenerated,
     accepts_new_work,
     can_copy,
+    find_pause,
+    find_service_pause,
     find_version,
     list_leaving_targets,
 )
@@ -191,6 +193,8 @@
             return
         if not must_move(self._instance.board, placement) or self._is_nearly_done():
             return
+        if self._find_pause(placement.target):
+            return
         self._move_count += 1
         reservation = build_move_reservation(
             self._spec,
@@ -231,9 +235,13 @@
                 reason=reason,
             )
         while True:
+            await self._wait_for_copy(continuation)
             decision = await self._find_placement(continuation)
             if isinstance(decision, PlacementDenied):
                 return self._respond_denied(decision)
+            if self._find_pause(decision.target):
+                self._release(ReservationOutcome.CANCELLED)
+                continue
             result = await self._send_to_target(decision, continuation)
             if isinstance(result, web.StreamResponse):
                 return result
@@ -247,6 +255,17 @@
             elif not self._can_retry(result):
                 return self._respond_failed(result)
 
+    async def _wait_for_copy(self, continuation: Continuation | None) -> None:
+        """Wait until the target that holds a copy of the KV cache wants requests."""
+        if continuation is None:
+            return
+        while pause := self._find_pause(continuation.target):
+            await asyncio.sleep(pause)
+
+    def _find_pause(self, target: str) -> float:
+        """Return for how long a target must get no requests, seconds."""
+        return find_pause(self._instance.board, target, _clock.monotonic())
+
     async def _find_placement(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
@@ -268,10 +287,14 @@
         if not placement.backup:
             return placement
         board = self._instance.board
-        can_continue = can_copy(board, placement.target, placement.backup)
-        if can_continue and accepts_new_work(board, placement.backup):
+        if not can_copy(board, placement.target, placement.backup):
+            detail = "other version"
+        elif not accepts_new_work(board, placement.backup):
+            detail = "the keeper leaves"
+        elif self._find_pause(placement.backup):
+            detail = "wants no requests"
+        else:
             return placement
-        detail = "the keeper leaves" if can_continue else "other version"
         self._log("copy_dropped", keeper=placement.backup, detail=detail)
         usable = placement._replace(backup="")
         self._placement = usable
@@ -317,7 +340,8 @@
         """Wait until admission chooses a target or refuses.
 
         A process that has just started has no list of targets yet, so it repeats the
-        request for a short time.
+        request for a short time. A stream that has begun waits for targets that all
+        want no requests.
         """
         while True:
             decision = await self._request_placement_once(continuation)
@@ -328,6 +352,10 @@
                 if self._leaving_choice_count <= _MAX_LEAVING_CHOICES:
                     continue
                 decision = denial
+            pause = self._find_resumption_pause(decision)
+            if pause:
+                await asyncio.sleep(pause)
+                continue
             waited = _clock.monotonic() - self._spec.received_at
             is_unknown = (
                 isinstance(decision, PlacementDenied) and decision.code == "no_target"
@@ -357,6 +385,14 @@
             f"the chosen target {target} leaves",
         )
 
+    def _find_resumption_pause(self, decision: TargetChosen | PlacementDenied) -> float:
+        """Return how long a stream that was denied a target waits, seconds."""
+        if isinstance(decision, TargetChosen) or self._stream.response is None:
+            return 0.0
+        now = _clock.monotonic()
+        pause = find_service_pause(self._instance.board, self._spec.service, now)
+        return pause if pause < self._spec.deadline - now else 0.0
+
     async def _request_placement_once(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
@@ -563,6 +599,9 @@
 
     def _can_continue(self, continuation: Continuation) -> bool:
         """Return whether a stream can continue at another target."""
+        time_left = self._spec.deadline - _clock.monotonic()
+        if self._find_pause(continuation.target) >= time_left:
+            return False
         if continuation.placement is not None:
             return True
         if self._break_count >= _MAX_STREAM_BREAKS:
@@ -622,7 +661,11 @@
         if self._may_have_run:
             return self._respond_outcome_unknown(error.detail)
         message = f"the target did not run the request: {error.detail}"
-        return self._refuse(not_run("no_target", message, _RETRY_AFTER_SECONDS))
+        now = _clock.monotonic()
+        pause = find_service_pause(self._instance.board, self._spec.service, now)
+        return self._refuse(
+            not_run("no_target", message, pause or _RETRY_AFTER_SECONDS)
+        )
 
     def _respond_outcome_unknown(self, detail: str) -> web.StreamResponse:
         """Return the response to a request that may have run without a usable response.
@@ -675,8 +718,9 @@
         outcome = _OUTCOMES[error.failure]
         may_have_run = error.failure is ExchangeFailure.MAY_HAVE_RUN
         self._may_have_run |= may_have_run
-        if may_have_run and is_live and record is not None:
+        if may_have_run and is_live:
             self._break_count += 1
+        if may_have_run and is_live and record is not None and not error.is_pause:
             has_started = self._stream.count >= _MIN_STARTED_EVENTS
             report = start_background_task(
                 self._report_target_loss(record, self._attempt, has_started),
@@ -684,7 +728,7 @@
             )
             _BACKGROUND_TASKS.add(report)
             report.add_done_callback(_BACKGROUND_TASKS.discard)
-        if error.failure is not ExchangeFailure.NOT_RUN:
+        if error.failure is not ExchangeFailure.NOT_RUN and not error.is_pause:
             now = _clock.monotonic()
             self._instance.health.handle(TargetFailed(placement.target), now)
         self._release(outcome)
--- a/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -12,6 +12,7 @@
     Headers,
     RequestHead,
     ResponseHead,
+    read_pause,
     read_request_rate,
 )
 from heathertackd.forwarding._hop_headers import copy_end_to_end
@@ -84,6 +85,7 @@
             is_target_leaving=headers.get(_LEAVING) == "1",
             headers=copy_end_to_end(headers),
             request_rate=read_request_rate(_REQUEST_RATE, headers),
+            pause=read_pause(status, headers),
         )
 
     def format_retry_after(self, seconds: float) -> str:
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -16,6 +16,7 @@
     TargetChosen,
     accepts_new_work,
     can_copy,
+    find_pause,
 )
 from heathertack.messages import (
     ReservationOutcome,
@@ -35,6 +36,8 @@
 #: Maximum wait for a placement: the moves from one engine run one after the other, and
 #: the engine stops one to two seconds after its notice.
 _PLACEMENT_WAIT_SECONDS = 1.5
+#: Maximum wait for a target to want requests before a copy is left to expire there.
+_MAX_DISCARD_WAIT_SECONDS = 10.0
 
 Log = Callable[..., None]
 
@@ -142,7 +145,7 @@
                 return None
             handed_over = await self._transfer(old.target, decision)
             if handed_over is not None:
-                await self._discard(old.backup)
+                self.discard_backup(old.backup)
             return handed_over
         finally:
             self._instance.remove_placement_listener(key)
@@ -168,6 +171,8 @@
         destination = targets.get(placement.target)
         if origin is None or destination is None:
             return None
+        if self._is_paused(source, placement.target):
+            return None
         copy_result = await self._mover.copy(
             origin.address, self._request_id, destination.address
         )
@@ -176,6 +181,8 @@
             return None
         if self._rejects_destination(source, placement.target):
             return None
+        if self._is_paused(source, placement.target):
+            return None
         hand_over_result = await self._mover.hand_over(
             origin.address, self._request_id, destination.address
         )
@@ -200,6 +207,18 @@
         self._log("stream_not_moved", source=source, to=destination, detail=detail)
         return True
 
+    def _is_paused(self, source: str, destination: str) -> bool:
+        """Return whether one of the engines wants no requests, and log it."""
+        now = _clock.monotonic()
+        for target in (source, destination):
+            if find_pause(self._instance.board, target, now):
+                detail = f"{target} wants no requests"
+                self._log(
+                    "stream_not_moved", source=source, to=destination, detail=detail
+                )
+                return True
+        return False
+
     def _record_failure(
         self, placement: TargetChosen, source: str, failure: MoveFailure
     ) -> None:
@@ -218,6 +237,10 @@
         return record is None or record.state is not TargetState.LIVE
 
     async def _discard(self, name: str) -> None:
+        while pause := find_pause(self._instance.board, name, _clock.monotonic()):
+            if pause > _MAX_DISCARD_WAIT_SECONDS:
+                return
+            await asyncio.sleep(pause)
         target = self._instance.board.read(TARGETS).get(name)
         if target is None or target.state is TargetState.GONE:
             return
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_answers.py
@@ -40,3 +40,14 @@
     def handle_leaving(self, target: str, address: str) -> None:
         """Handle an answer in which a target says that it is about to leave."""
         self._instance.record_leaving_target(target, address)
+
+    def handle_pause(self, target: str, head: ResponseHead) -> None:
+        """Handle the time for which a target wants no requests, if it names one."""
+        if isinstance(head.pause, Failure):
+            self._instance.logger.warning(
+                "target_pause_unreadable", target=target, detail=head.pause.failure()
+            )
+            return
+        seconds = head.pause.unwrap()
+        if seconds is not None:
+            self._instance.record_target_pause(target, seconds)
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -61,6 +61,8 @@
     detail: str
     #: Number of connections on which the request was sent to the target.
     transmissions: int = 0
+    #: Whether the target answered that it wants no requests for a while.
+    is_pause: bool = False
 
 
 class TargetRequest(NamedTuple):
@@ -107,6 +109,13 @@
         """
         ...
 
+    def handle_pause(self, target: str, head: ResponseHead) -> None:
+        """Handle the time for which a target wants no requests, if the header has one.
+
+        Targets may turn requests away without repeating the id of the request.
+        """
+        ...
+
 
 class TargetResponse:
     """A response whose header has arrived.
@@ -259,6 +268,7 @@
             self._memory,
         )
         head = target_response.head
+        self._listener.handle_pause(request.target, head)
         if head.request_id == request.request_id and head.status != _WRONG_TARGET:
             self._listener.handle_answer(request.target, head, sent_at)
         if head.is_target_leaving and _is_from_target(head, request):
@@ -266,7 +276,7 @@
         exchange_error = _find_error(head, request.request_id)
         if exchange_error is not None:
             target_response.close()
-            return Failure(exchange_error)
+            return Failure(exchange_error._replace(is_pause=_names_pause(head)))
         return Success(target_response)
 
 
@@ -298,6 +308,10 @@
     return None
 
 
+def _names_pause(head: ResponseHead) -> bool:
+    return isinstance(head.pause, Success) and head.pause.unwrap() is not None
+
+
 def _retrieve_exception(closed: asyncio.Future[None]) -> None:
     """Mark the error of a closed connection as seen: the response reports it too."""
     if not closed.cancelled():
