Pack large messages between instances, in frames that heartbeats pass between

Cause: a command of 0.95 MB is one frame. While it is on its way, for 1.5 s and more, no heartbeat of the connection passes; the receiver takes that for a dead peer, closes the connection, and everything that waits on it is lost; the next copy meets the same. At the leader, heartbeats to voters wait behind the entry, so that the lease of 0.6 s and the time-out of elections run out.

An instance packs only for peers whose latest message shows that they read packed ones, so that earlier builds still understand it. The simulations count the bytes that are sent.

--- a/packages/heathertack/src/heathertack/controllers/tests/slow_link_cluster.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/slow_link_cluster.py
@@ -46,6 +46,7 @@
     LeaseRequest,
     PeerMessage,
     TableVersion,
+    build_frames,
 )
 from heathertack.state import COMMAND_CODEC, ApplyBundle, ControlStateMachine
 from heathertack.storage import StorageIdentity, format_folder, open_storage
@@ -60,6 +61,12 @@
 _FIRST_ROUTES = 20
 
 
+def measure_frames(message: PeerMessage) -> int:
+    """Return the number of bytes in which a message is sent."""
+    frames = build_frames(PEER_CODEC.encode(message), may_pack=True)
+    return sum(map(len, frames))
+
+
 class _Queued(NamedTuple):
     size: float
     message: PeerMessage
@@ -81,7 +88,7 @@
         self._arrivals: list[_Arrival] = []
 
     def send(self, sender: str, receiver: str, message: PeerMessage) -> None:
-        size = len(PEER_CODEC.encode(message))
+        size = measure_frames(message)
         queue = self._queues.setdefault((sender, receiver), deque())
         queue.append(_Queued(size, message))
 
--- a/packages/heathertack/src/heathertack/controllers/tests/test_bundle_distribution.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_bundle_distribution.py
@@ -44,8 +44,8 @@
     derive_lease_timings,
 )
 from heathertack.controllers._bundle_archive import BundleArchive
+from heathertack.controllers.tests.slow_link_cluster import measure_frames
 from heathertack.messages import (
-    PEER_CODEC,
     LeaseGrant,
     LeaseRequest,
     PeerMessage,
@@ -260,7 +260,7 @@
                 self._send_from_leader(action.instance, action.message)
 
     def _send_from_leader(self, name: str, message: PeerMessage) -> None:
-        size = len(PEER_CODEC.encode(message))
+        size = measure_frames(message)
         if isinstance(message, LeaseGrant) and message.bundle is not None:
             self.copies[name] += 1
             self.bundle_bytes += len(message.bundle.data)
@@ -291,7 +291,7 @@
         for action in actions:
             request = action.message
             if isinstance(request, LeaseRequest) and name not in self.isolated:
-                size = len(PEER_CODEC.encode(request))
+                size = measure_frames(request)
                 arrival = self.clock.now + size / (
                     HOLDER_LINK_MEGABITS * BYTES_PER_MEGABIT
                 )
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,6 +1,7 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
+from heathertack.messages._frames import build_frames, join_frames
 from heathertack.messages._peer import (
     PEER_CODEC,
     BundlePush,
@@ -85,4 +86,6 @@
     "TargetState",
     "TargetVersion",
     "TargetVersions",
+    "build_frames",
+    "join_frames",
 ]
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -11,7 +11,12 @@
 from returns.result import Failure, Success
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from heathertack.messages import PEER_CODEC, PeerMessage
+from heathertack.messages import (
+    PEER_CODEC,
+    PeerMessage,
+    build_frames,
+    join_frames,
+)
 from heathertack.settings import Settings
 from heathertackd._background_tasks import start_background_task
 from heathertackd._logs import Logger
@@ -128,6 +133,11 @@
         )
         self._authenticator: AsyncioAuthenticator | None = None
         self._senders: dict[str, zmq.Socket[bytes]] = {}
+        #: Peers that read packed messages, by their latest message.
+        self._packing_peers: set[str] = set()
+        #: The latest message: large ones go to several peers in turn.
+        self._latest_data = b""
+        self._latest_frames: tuple[bytes, ...] = ()
         self._listener: zmq.asyncio.Socket | None = None
         self._secret_key = settings.get("secret_key", "").encode()
         self._public_key = (
@@ -187,14 +197,22 @@
                 return
             sender = self._connect(peer)
             self._senders[instance] = sender
-        data = PEER_CODEC.encode(message)
+        frames = self._build_frames(instance, PEER_CODEC.encode(message))
         try:
-            sender.send_multipart((self._name, data), zmq.NOBLOCK)
+            sender.send_multipart((self._name, *frames), zmq.NOBLOCK)
         except zmq.Again:
             self._metrics.peer_messages.labels("dropped").inc()
             return
         self._metrics.peer_messages.labels("sent").inc()
-        self._metrics.peer_bytes.labels("sent").inc(len(data))
+        self._metrics.peer_bytes.labels("sent").inc(sum(map(len, frames)))
+
+    def _build_frames(self, instance: str, data: bytes) -> tuple[bytes, ...]:
+        if instance not in self._packing_peers:
+            return build_frames(data, may_pack=False)
+        if data != self._latest_data:
+            self._latest_data = data
+            self._latest_frames = build_frames(data, may_pack=True)
+        return self._latest_frames
 
     def _connect(self, peer: PeerAddress) -> zmq.Socket[bytes]:
         sender: zmq.Socket[bytes] = self._plain_context.socket(zmq.PUSH)
@@ -220,10 +238,10 @@
                 self._logger.info("peer_message_withdrawn")
                 continue
             sender = self._identify(frames[0])
-            data = frames[-1].bytes
+            parts = [frame.bytes for frame in frames[1:]]
             self._metrics.peer_messages.labels("received").inc()
-            self._metrics.peer_bytes.labels("received").inc(len(data))
-            self._handle(sender, data)
+            self._metrics.peer_bytes.labels("received").inc(sum(map(len, parts)))
+            self._handle(sender, parts)
 
     def _identify(self, frame: zmq.Frame) -> str:
         """Return the sender: authenticated if encrypted, else as it names itself."""
@@ -231,14 +249,28 @@
             return self._names.get(str(frame.get("User-Id")), "")
         return frame.bytes.decode(errors="replace")
 
-    def _handle(self, sender: str, data: bytes) -> None:
+    def _handle(self, sender: str, parts: list[bytes]) -> None:
+        if len(parts) == 1:
+            # An earlier build, which sends and reads one frame.
+            self._packing_peers.discard(sender)
+            self._handle_data(sender, parts[0])
+            return
+        match join_frames(parts):
+            case Success(data):
+                self._packing_peers.add(sender)
+                self._handle_data(sender, data)
+            case Failure(detail):
+                self._log_unreadable(sender, detail)
+
+    def _handle_data(self, sender: str, data: bytes) -> None:
         match PEER_CODEC.decode(data):
             case Success(message):
                 self._receive(sender, message)
             case Failure(error):
-                self._logger.warning(
-                    "peer_message_unreadable", sender=sender, detail=error.detail
-                )
+                self._log_unreadable(sender, error.detail)
+
+    def _log_unreadable(self, sender: str, detail: str) -> None:
+        self._logger.warning("peer_message_unreadable", sender=sender, detail=detail)
 
 
 def _enable_heartbeats(link: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
--- a/packages/heathertackd/src/heathertackd/tests/test_peers.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_peers.py
@@ -11,9 +11,9 @@
 _PARTITION_SECONDS = 7.5
 
 
-def build_settings(port: int) -> Settings:
+def build_settings(port: int, name: str) -> Settings:
     return {
-        "instance": f"{HOST}:{port}",
+        "instance": name,
         "cluster": "test",
         "failure_domain": "a",
         "http": {"host": HOST, "port": 1},
@@ -28,11 +28,11 @@
 class Peer:
     """A peer network that records the messages it receives."""
 
-    def __init__(self, port: int) -> None:
-        self.name = f"{HOST}:{port}"
+    def __init__(self, port: int, name: str = "") -> None:
+        self.name = name or f"{HOST}:{port}"
         self.received: list[tuple[str, PeerMessage]] = []
         self.network = PeerNetwork(
-            build_settings(port),
+            build_settings(port, self.name),
             lambda sender, message: self.received.append((sender, message)),
             Metrics(),
             configure_logs("test", "critical"),
--- a/packages/heathertackd/src/heathertackd/tests/test_slow_peers.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_slow_peers.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import secrets
 from collections.abc import AsyncIterator
 
 from heathertack.messages import ControlRequest, LeaderHint
@@ -63,17 +64,22 @@
     # connection that still delivers; all that waits on it is lost then.
     async def test_busy_connection_loses_no_message(self) -> None:
         own, proxy, other = find_free_ports(3)
-        sender, receiver = Peer(own), Peer(other)
+        sender, receiver = Peer(own), Peer(other, f"{HOST}:{proxy}")
         link = SlowLink(other, _LINK_MEGABITS)
         await receiver.network.start()
         await sender.network.start()
         try:
             async with link.listen(proxy):
-                sent = [ControlRequest(f"c{n}", bytes(945_647)) for n in range(4)]
+                receiver.network.send(sender.name, LeaderHint("y"))
+                await sender.wait_for_message(5.0)
+                sent = [
+                    ControlRequest(f"c{n}", secrets.token_bytes(945_647))
+                    for n in range(4)
+                ]
                 for request in sent:
-                    sender.network.send(f"{HOST}:{proxy}", request)
+                    sender.network.send(receiver.name, request)
                     await asyncio.sleep(0.8)
-                sender.network.send(f"{HOST}:{proxy}", LeaderHint("x"))
+                sender.network.send(receiver.name, LeaderHint("x"))
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(_WAIT_SECONDS):
                         while len(receiver.received) <= len(sent):
