Send a bundle once while it is on its way, and grant no lease for an older one

A copy now counts as on its way for 0.7 s and the time of its transfer; the instance asks again when it has the bundle, and gets it again if it was lost (test_is_sent_again_in_time_if_lost).

A new leader could grant leases for an older bundle than its log holds, in the moment before the control log announces it. It now answers no request in that moment.

--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -18,6 +18,7 @@
 from heathertack.controllers._loss_suspects import read_suspects
 from heathertack.controllers._tables import VersionedTable
 from heathertack.messages import (
+    BundlePush,
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
@@ -33,6 +34,10 @@
 
 _CLOCK_DRIFT_FACTOR = 1.1
 _ANNOUNCEMENT_INTERVAL_SECONDS = 0.5
+#: Time after which a bundle counts as lost if the instance does not report it, seconds,
+#: and the rate at which it is expected to be sent, bytes a second.
+_PUSH_TIMEOUT_SECONDS = 0.7
+_MIN_TRANSFER_RATE = 125_000
 
 
 class LeaseRequested(NamedTuple):
@@ -93,6 +98,10 @@
     last_request_at: float
     #: Time until which a lease of this leader may be valid on the instance.
     granted_until: float
+    #: Log index of the bundle that was last sent, and the time until which it counts as
+    #: on its way, monotonic clock, seconds.
+    pushed_index: int = 0
+    push_deadline: float = 0.0
 
 
 class LeaseGrantorController:
@@ -170,6 +179,9 @@
             self._committed_at = now
         if not control.may_lead(now):
             return _redirect_to_leader(event, control)
+        if control.bundle_index > self._archive.log_index:
+            # The log holds a newer bundle, which is announced in a moment.
+            return ()
         self._reset_on_new_term(control.term, now)
         pushes = self._update_suspects(control, now)
         return (*pushes, *self._handle_as_leader(event, control, now))
@@ -249,8 +261,11 @@
         if previous is None:
             lost = MarkOwnerLost(request.instance, request.incarnation - 1)
             actions.append(ProposeCommand(lost))
+        holder = _Holder(request, now, 0.0)
+        if previous is not None and previous.request.incarnation == request.incarnation:
+            holder = previous._replace(request=request, last_request_at=now)
         lifetime = self._timings.duration * _CLOCK_DRIFT_FACTOR
-        self._holders[request.instance] = _Holder(request, now, now + lifetime)
+        self._holders[request.instance] = holder._replace(granted_until=now + lifetime)
         self._members.put(request.instance, _describe_member(request, control))
         actions.extend(self._build_grant(request, control, now))
         return (*actions, *self._confirm_bundle(now))
@@ -258,7 +273,14 @@
     def _build_grant(
         self, request: LeaseRequest, control: ControlView, now: float
     ) -> tuple[SendToPeer, ...]:
-        """Return a grant, preceded by the versions that changed."""
+        """Return a grant, preceded by the versions that changed.
+
+        Returns nothing while the current bundle is on its way to the instance, which
+        asks again when it has it: another copy would delay both.
+        """
+        push = self._archive.build_push(request.bundle_index)
+        if push is not None and not self._start_push(request.instance, push, now):
+            return ()
         is_full = request.table.term != self._term
         since = 0 if is_full else request.table.sequence
         grant = LeaseGrant(
@@ -266,7 +288,7 @@
             leader=self._instance,
             incarnation=request.incarnation,
             bundle_index=self._archive.log_index,
-            bundle=self._archive.build_push(request.bundle_index),
+            bundle=push,
             duration=self._timings.duration,
             sent_at=request.sent_at,
             table=TableVersion(self._term, self._sequence),
@@ -283,6 +305,18 @@
         changed = TargetVersions(self._term, versions)
         return (SendToPeer(request.instance, changed), sent_grant)
 
+    def _start_push(self, instance: str, push: BundlePush, now: float) -> bool:
+        """Record that a bundle is sent, and return whether it must be."""
+        holder = self._holders[instance]
+        if holder.pushed_index == push.log_index and now < holder.push_deadline:
+            return False
+        transfer = len(push.data) / _MIN_TRANSFER_RATE
+        self._holders[instance] = holder._replace(
+            pushed_index=push.log_index,
+            push_deadline=now + _PUSH_TIMEOUT_SECONDS + transfer,
+        )
+        return True
+
     def _push_to_holders(self, control: ControlView, now: float) -> tuple[Action, ...]:
         """Send the changes to every lease holder without extending its lease."""
         holders = [h for h in self._holders.values() if now < h.granted_until]
