Append copies that arrive in one batch once

Found by review: while a sync is slow, copies of an order gather in one batch, and each passed the check for a pending one before the first was entered; 5 copies were appended 5 times. TestRepeatedCommands::test_copies_of_one_batch_are_appended_once red before.

--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -266,7 +266,15 @@
     def _propose_queued(self, now: float) -> None:
         queued = tuple(self._queued)
         self._queued.clear()
-        submitted = tuple(item for item in queued if not self._join_known(item))
+        submitted: list[CommandSubmitted] = []
+        copies: list[CommandSubmitted] = []
+        keys: set[str] = set()
+        for item in queued:
+            if self._join_known(item):
+                continue
+            key = _identify(item)
+            (copies if key and key in keys else submitted).append(item)
+            keys.add(key)
         if not submitted:
             return
         payloads = tuple(
@@ -278,8 +286,10 @@
                 for offset, item in enumerate(submitted):
                     index = proposal.first_index + offset
                     self._add_pending(index, proposal.term, item)
+                for item in copies:
+                    self._join_known(item)
             case Failure(_):
-                for item in submitted:
+                for item in (*submitted, *copies):
                     self._answer_failure(
                         item.request_id, item.requester, ControlStatus.NOT_LEADER
                     )
--- a/packages/heathertack/src/heathertack/controllers/tests/test_repeated_commands.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_repeated_commands.py
@@ -54,6 +54,13 @@
         for due in (event, ProposalsDue()):
             self.cluster.carry_out(node, self.log.handle(due, now))
 
+    def submit_together(self, requester: str, command: Command, *, copies: int) -> None:
+        node = self.cluster.nodes[self.name]
+        now = self.cluster.clock(node)
+        event = CommandSubmitted("r1", requester, command, self.cluster.now)
+        for due in (*(event for _ in range(copies)), ProposalsDue()):
+            self.cluster.carry_out(node, self.log.handle(due, now))
+
     def read_results(self) -> dict[tuple[str, str], object]:
         return {
             (reply.requester, reply.request_id): RESULT_CODEC.decode(
@@ -99,6 +106,18 @@
         assert leader.log_length == before + 1
         assert set(leader.read_results()) == {(q, r) for r, q in requesters}
 
+    # Guards against copies that arrive while a sync is slow, and are each appended.
+    @pytest.mark.parametrize("command", [_bundle(2), _CLAIM])
+    def test_copies_of_one_batch_are_appended_once(
+        self, leader: _Leader, command: Command
+    ) -> None:
+        before = leader.log_length
+        requester = "a"
+        leader.submit_together(requester, command, copies=5)
+        leader.cluster.run(1.0)
+        assert leader.log_length == before + 1
+        assert set(leader.read_results()) == {(requester, "r1")}
+
     # Guards against an order that is in force and is appended again by each resend.
     def test_bundle_in_force_is_not_appended_again(self, leader: _Leader) -> None:
         leader.submit("r1", "a", _bundle(2))
