Let no request that only its own pauses hold up delay other instances

Found by review: a request of an instance that may use no free target waited at the head of the queue; after 6 s all others stopped behind it with free slots, and new ones were refused for a long wait. Such requests are passed over and not counted as ahead. TestAdmission::test_waiting_request_does_not_hold_up_other_instances red before.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -328,6 +328,9 @@
                 continue
             if waiting.request.is_running:
                 continue
+            if self._pauses.find(waiting.instance, now):
+                # The targets that it may not use are free for other instances.
+                continue
             if self._waits_for_memory(waiting, now):
                 self._last_memory_wait_at = now
             skipped += 1
@@ -370,7 +373,9 @@
         ahead = sum(
             1
             for queued in self._queue.ordered(now)
-            if queued.priority >= request.priority and queued.objective_deadline >= now
+            if queued.priority >= request.priority
+            and queued.objective_deadline >= now
+            and not self._pauses.find(queued.item.instance, now)
         )
         estimate = max(
             self._waits.estimate(ahead, now),
--- a/packages/heathertack/src/heathertack/controllers/tests/test_target_pauses.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_target_pauses.py
@@ -286,6 +286,28 @@
                     assert isinstance(action.message, ReservationGrant)
                     assert action.message.target == expected
 
+    # Guards against a queue whose head may use no target and holds up all others.
+    def test_waiting_request_does_not_hold_up_other_instances(self) -> None:
+        system = PauseSystem(targets=1)
+        told = TargetPauses((TargetPause("t0", 60.0),))
+        system.admission.handle(PausesReceived("b", told), 0.0)
+        waiting = ReservationReceived("b", request("b0", max_wait=30.0))
+        system.admission.handle(waiting, 1.0)
+        late = 1.0 + TUNING.head_age_limit + 0.1
+        system.admission.handle(ReservationReceived("b", waiting.request), late)
+        asked = ReservationReceived("c", request("c0", max_wait=5.0))
+        actions = (
+            *system.admission.handle(asked, late),
+            *system.admission.handle(AdmissionDue(), late + 0.5),
+        )
+        granted = {
+            action.instance
+            for action in actions
+            if isinstance(action, SendToPeer)
+            and isinstance(action.message, ReservationGrant)
+        }
+        assert granted == {"c"}
+
     def test_backup_is_kept_elsewhere(self) -> None:
         system = PauseSystem(targets=3, capacity=10_000)
         told = TargetPauses((TargetPause("t1", 5.0),))
