--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -144,8 +144,12 @@
                 self._log("stream_not_moved", source=old.target, detail=detail)
                 return None
             handed_over = await self._transfer(old.target, decision)
-            if handed_over is not None:
+            if handed_over is None:
+                return None
+            if find_pause(self._instance.board, old.backup, _clock.monotonic()):
                 self.discard_backup(old.backup)
+            else:
+                await self._discard(old.backup)
             return handed_over
         finally:
             self._instance.remove_placement_listener(key)
