Count no request that its own pauses hold up as backlog

The queue then refused other instances for a long wait although targets were free; test_waiting_request_does_not_hold_up_other_instances is green with this.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -328,7 +328,7 @@
                 continue
             if waiting.request.is_running:
                 continue
-            if self._pauses.find(waiting.instance, now):
+            if self._may_pause(queued, now):
                 # The targets that it may not use are free for other instances.
                 continue
             if self._waits_for_memory(waiting, now):
@@ -337,9 +337,16 @@
             is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
             if is_old_head or skipped > self._tuning.look_ahead:
                 break
-        self._waits.record_queue_length(len(self._queue), now)
+        backlog = sum(
+            1 for q in self._queue.ordered(now) if not self._may_pause(q, now)
+        )
+        self._waits.record_queue_length(backlog, now)
         return tuple(replies)
 
+    def _may_pause(self, queued: QueuedItem[WaitingRequest], now: float) -> bool:
+        """Return whether a request may wait only because targets pause for it."""
+        return bool(self._pauses.find(queued.item.instance, now))
+
     def _enqueue(
         self,
         request: ReservationRequest,
@@ -375,7 +382,7 @@
             for queued in self._queue.ordered(now)
             if queued.priority >= request.priority
             and queued.objective_deadline >= now
-            and not self._pauses.find(queued.item.instance, now)
+            and not self._may_pause(queued, now)
         )
         estimate = max(
             self._waits.estimate(ahead, now),
--- a/packages/heathertack/src/heathertack/controllers/tests/test_repeated_commands.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_repeated_commands.py
@@ -58,8 +58,9 @@
         node = self.cluster.nodes[self.name]
         now = self.cluster.clock(node)
         event = CommandSubmitted("r1", requester, command, self.cluster.now)
-        for due in (*(event for _ in range(copies)), ProposalsDue()):
-            self.cluster.carry_out(node, self.log.handle(due, now))
+        for _ in range(copies):
+            self.cluster.carry_out(node, self.log.handle(event, now))
+        self.cluster.carry_out(node, self.log.handle(ProposalsDue(), now))
 
     def read_results(self) -> dict[tuple[str, str], object]:
         return {
