Simulate crashes while the control log has no leader

The simulation can delay commits, leave the log without a leader for a time, repeat one request instead of a shared part, bound the attempts of a request and the commands that wait, and count as the admission owner does. It tells how often an instance sends what it has already seen crash three engines. No world of the existing tests changes.

--- a/packages/heathertack/src/heathertack/controllers/tests/crash_simulation.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/crash_simulation.py
@@ -16,7 +16,9 @@
     RunStarted,
     list_suspects,
     part_fingerprint,
+    request_fingerprint,
 )
+from heathertack.policy import TargetLossCounter
 from heathertack.state import ControlStateMachine, ReportTargetLoss
 
 CRASHING_PART = part_fingerprint("dead")
@@ -26,6 +28,15 @@
 COMMIT_SECONDS = 0.02
 #: Time from a commit until the instances have read it, seconds.
 PUBLISH_SECONDS = 0.6
+#: Maximum time until a waiting command is sent again once there is a leader, seconds.
+RESEND_SECONDS = 0.8
+#: Maximum number of commands that wait at an instance; further ones are dropped.
+MAX_WAITING_COMMANDS = 128
+#: Number of crashes after which an instance must not send their cause again.
+_CRASHES_TO_STOP = 3
+#: Number of losses after which an admission owner refuses a request.
+_LOSSES_TO_QUARANTINE = 2
+REPEATED_REQUEST = request_fingerprint("dead")
 
 
 class World(NamedTuple):
@@ -46,6 +57,14 @@
     #: Instances that learn nothing from time 5 to 10.
     cut_off: int = 0
     seconds: float = 40.0
+    #: Whether one request crashes engines, which is repeated, instead of a part.
+    is_repeated: bool = False
+    #: Engines that one request may be sent to; 0 for any number.
+    max_attempts: int = 0
+    commit_seconds: float = COMMIT_SECONDS
+    #: Time from which the control log has no leader, and for how long, seconds.
+    leaderless_from: float = 0.0
+    leaderless_seconds: float = 0.0
 
 
 class _Writer:
@@ -62,6 +81,8 @@
 class _Run(NamedTuple):
     identity: RunIdentity
     instance: int
+    is_crashing: bool
+    attempt: int = 1
 
 
 def _start_instance() -> _Instance:
@@ -80,6 +101,15 @@
         self.crashes: list[float] = []
         #: Times at which requests with the part were sent to engines.
         self.sent_at: list[float] = []
+        #: Engines whose crash under the cause each instance has seen by itself.
+        self.seen: list[set[str]] = [set() for _ in range(world.instances)]
+        #: Requests with the cause that an instance sent after it had seen three such
+        #: crashes.
+        self.sent_in_spite = 0
+        self.dropped_commands = 0
+        self._waiting = [0] * world.instances
+        #: Losses by request, as counted by the admission owner of the engines.
+        self._owner_losses = TargetLossCounter()
         #: Time of each sound request, and whether it was refused.
         self.sound: list[tuple[float, bool]] = []
         self._random = random.Random(world.seed)
@@ -141,8 +171,10 @@
         if is_crashing:
             parts.insert(self.world.position, CRASHING_PART)
         identity = RunIdentity(f"r{next(self._names)}", tuple(parts))
+        if is_crashing and self.world.is_repeated:
+            identity = RunIdentity(REPEATED_REQUEST, ())
         instance = choose(self.world.instances)
-        is_refused = self._send(_Run(identity, instance))
+        is_refused = self._send(_Run(identity, instance, is_crashing))
         if not is_crashing:
             self.sound.append((self._now, is_refused))
 
@@ -151,11 +183,15 @@
         quarantine = self._instances[run.instance].quarantine
         if quarantine.find_match(run.identity) is not None:
             return True
+        losses = self._owner_losses.count(run.identity.request, self._now)
+        if losses >= _LOSSES_TO_QUARANTINE:
+            return True
         if not self._engines:
             return False
         engine = self._random.choice(list(self._engines))
-        if CRASHING_PART in run.identity.parts:
+        if run.is_crashing:
             self.sent_at.append(self._now)
+            self.sent_in_spite += len(self.seen[run.instance]) >= _CRASHES_TO_STOP
         self._engines[engine].append(run)
         self._after(START_SECONDS, lambda: self._begin(engine, run))
         return False
@@ -163,14 +199,15 @@
     def _begin(self, engine: str, run: _Run) -> None:
         if run not in self._engines.get(engine, ()):
             return
-        if CRASHING_PART in run.identity.parts:
+        if run.is_crashing:
             self.crashes.append(self._now)
             self._crash(engine)
             return
         self._engines[engine].remove(run)
+        self._owner_losses.clear(run.identity.request)
         quarantine = self._instances[run.instance].quarantine
         started = quarantine.handle(RunStarted(run.identity), self._now)
-        self._commit(started)
+        self._commit(run.instance, started)
 
     def _crash(self, engine: str) -> None:
         """Lose the runs of an engine; each is reported and sent once more."""
@@ -179,24 +216,41 @@
             crashed = RunCrashed(
                 run.identity, "school", engine, f"a{next(self._names)}", self._now
             )
-            self._commit(instance.handle(crashed, self._now))
+            if run.is_crashing:
+                self.seen[run.instance].add(engine)
+            self._owner_losses.record_loss(run.identity.request, self._now)
+            self._commit(run.instance, instance.handle(crashed, self._now))
             self._after(COMMIT_SECONDS, lambda run=run: self._retry(run))  # type: ignore[misc]
         new_name = f"e{next(self._names)}"
         self._after(DOWN_SECONDS, lambda: self._engines.update({new_name: []}))
 
     def _retry(self, run: _Run) -> None:
-        self._send(run)
+        if run.attempt != self.world.max_attempts:
+            self._send(run._replace(attempt=run.attempt + 1))
 
     def _crash_any(self) -> None:
         self._after(self._pause(self.world.other_crashes), self._crash_any)
         if self._engines:
             self._crash(self._random.choice(list(self._engines)))
 
-    def _commit(self, actions: tuple[CommitCommand, ...]) -> None:
+    def _commit(self, instance: int, actions: tuple[CommitCommand, ...]) -> None:
         for action in actions:
-            self._after(COMMIT_SECONDS, lambda a=action: self._apply(a))  # type: ignore[misc]
-
-    def _apply(self, action: CommitCommand) -> None:
+            if self._waiting[instance] >= MAX_WAITING_COMMANDS:
+                self.dropped_commands += 1
+                continue
+            self._waiting[instance] += 1
+            delay = self._wait_for_leader() + self.world.commit_seconds
+            self._after(delay, lambda a=action: self._apply(instance, a))  # type: ignore[misc]
+
+    def _wait_for_leader(self) -> float:
+        world = self.world
+        elected_at = world.leaderless_from + world.leaderless_seconds
+        if not world.leaderless_from <= self._now < elected_at:
+            return 0.0
+        return elected_at - self._now + RESEND_SECONDS * self._random.random()
+
+    def _apply(self, instance: int, action: CommitCommand) -> None:
+        self._waiting[instance] -= 1
         command = action.command
         if isinstance(command, ReportTargetLoss):
             command = command._replace(at=self._now)
@@ -214,6 +268,6 @@
         def tick() -> None:
             self._after(TICK_SECONDS, tick)
             quarantine = self._instances[number].quarantine
-            self._commit(quarantine.handle(QuarantineDue(), self._now))
+            self._commit(number, quarantine.handle(QuarantineDue(), self._now))
 
         return tick
