Test that crashes an instance saw count before they are committed

Callers see engines crash on: an instance that has lost three runs with one part sends further ones until a leader has committed and published its reports.

--- a/packages/heathertack/src/heathertack/controllers/tests/test_quarantine.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_quarantine.py
@@ -33,6 +33,8 @@
 #: and the stability window, and the least fraction of sound requests to be served.
 CRASHES_ALLOWED = 5
 STABILITY_SECONDS = 3.0
+#: The same number of crashes for one request that is repeated.
+REQUEST_CRASHES_ALLOWED = 3
 LATE_SENDS_ALLOWED = 3
 MIN_SERVED_FRACTION = 0.5
 SHARES = (0.05, 0.3, 0.6, 0.9)
@@ -65,9 +67,15 @@
         self.board.register(self.writer)
         self.controller = QuarantineController(self.board)
 
-    def crash(self, run: RunIdentity, target: str, at: float) -> None:
+    def report(
+        self, run: RunIdentity, target: str, at: float
+    ) -> tuple[CommitCommand, ...]:
+        """Let the controller report a crash, and return what it wants to commit."""
         crashed = RunCrashed(run, "school", target, f"a{at}", at)
-        self.apply(self.controller.handle(crashed, at), at)
+        return self.controller.handle(crashed, at)
+
+    def crash(self, run: RunIdentity, target: str, at: float) -> None:
+        self.apply(self.report(run, target, at), at)
 
     def start(self, run: RunIdentity, at: float) -> None:
         self.apply(self.controller.handle(RunStarted(run), at), at)
@@ -266,3 +274,58 @@
     served = simulation.served_fraction(2 * STABILITY_SECONDS)
     assert late <= LATE_SENDS_ALLOWED, simulation.world
     assert served >= MIN_SERVED_FRACTION, simulation.world
+
+
+class TestCrashesWithoutLeader:
+    # Guards against an instance that goes on sending what it has seen crash three
+    # engines, because no leader has confirmed its reports yet.
+    def test_part_is_refused_before_the_reports_are_committed(self) -> None:
+        published = Published()
+        for number in range(3):
+            crashing = run_with(f"r{number}", FIRST, CRASHING)
+            published.report(crashing, f"e{number}", float(number))
+        crashing = run_with("r9", FIRST, CRASHING)
+        assert published.controller.find_match(crashing) is not None
+
+    # Guards against the same in the course of a day; without an outage the publication
+    # of the reports bounds it.
+    @pytest.mark.parametrize("is_repeated", [False, True], ids=["part", "request"])
+    @pytest.mark.parametrize("leaderless_seconds", [0.0, 2.0, 3.5, 5.0])
+    def test_instances_stop_after_three_crashes_that_they_saw(
+        self, leaderless_seconds: float, is_repeated: bool
+    ) -> None:
+        for world in list_outages(leaderless_seconds, is_repeated):
+            simulation = CrashSimulation(world)
+            simulation.run()
+            assert simulation.sent_in_spite <= LATE_SENDS_ALLOWED, world
+
+    # Guards against requests that are still sent when the log had no leader for as long
+    # as crashes came.
+    @pytest.mark.parametrize("is_repeated", [False, True], ids=["part", "request"])
+    @pytest.mark.parametrize("leaderless_seconds", [2.0, 3.5, 5.0])
+    def test_late_sends_after_an_outage_of_the_log(
+        self, leaderless_seconds: float, is_repeated: bool
+    ) -> None:
+        allowed = REQUEST_CRASHES_ALLOWED if is_repeated else CRASHES_ALLOWED
+        for world in list_outages(leaderless_seconds, is_repeated):
+            simulation = CrashSimulation(world)
+            simulation.run()
+            late = simulation.count_late_sends(allowed, STABILITY_SECONDS)
+            assert late <= LATE_SENDS_ALLOWED, world
+
+
+def list_outages(leaderless_seconds: float, is_repeated: bool) -> list[World]:
+    """Return worlds that begin while the control log has no leader."""
+    return [
+        World(
+            seed,
+            instances=instances,
+            engines=12,
+            rate=10.0,
+            is_repeated=is_repeated,
+            max_attempts=2,
+            leaderless_seconds=leaderless_seconds,
+            seconds=20.0,
+        )
+        for instances, seed in itertools.product((2, 4, 12), range(20))
+    ]
