Test that a repeated request stops without a leader

A request that crashes its targets is counted by the admission owner too, so it reaches three targets at most while no report is committed.

--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_crash_reports.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_crash_reports.py
@@ -11,6 +11,7 @@
     ForwardingSystem,
     Received,
     Script,
+    ScriptedTarget,
     close_connection,
     respond,
     route,
@@ -20,6 +21,8 @@
 
 #: Longer than the probe of a target takes, seconds.
 PROBE_SECONDS = 0.6
+#: Number of targets that one repeated request may crash.
+MAX_CRASHES = 3
 
 
 def crash(system: ForwardingSystem, begin: Script | None) -> Script:
@@ -106,3 +109,27 @@
             events = record_events(system)
             await send(system)
             assert [type(event) for event in events] == expected
+
+
+class TestCrashesWithoutLeader:
+    # Guards against a request that crashes engine after engine for as long as no leader
+    # commits the reports: the admission owner has to count by itself.
+    @pytest.mark.parametrize("kind", ["idempotent", "streaming"])
+    async def test_repeated_request_reaches_three_targets_at_most(
+        self, kind: str
+    ) -> None:
+        scripts = [close_connection] * 6
+        async with run_system(route(kind), *scripts) as system:
+            for target in system.targets:
+                target.script = crash_itself(target)
+            for _ in range(4):
+                await send(system)
+            assert system.count_received() <= MAX_CRASHES
+
+
+def crash_itself(target: ScriptedTarget) -> Script:
+    async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+        target.stop()
+        writer.transport.abort()
+
+    return script
