--- a/packages/heathertackd/src/heathertackd/tests/test_peers.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_peers.py
@@ -1,7 +1,15 @@
 import asyncio
 import socket
 
-from heathertack.messages import LeaderHint, PeerMessage
+import zmq
+import zmq.asyncio
+
+from heathertack.messages import (
+    PEER_CODEC,
+    ControlRequest,
+    LeaderHint,
+    PeerMessage,
+)
 from heathertack.settings import Settings
 from heathertack_fakes import HOST, find_free_ports
 from heathertackd import configure_logs
@@ -99,3 +107,69 @@
         await receiver.wait_for_message(2.0)
         await sender.network.stop()
         await receiver.network.stop()
+
+
+class EarlierBuild:
+    """A peer that sends its messages in one frame and reads only the last frame."""
+
+    def __init__(self, port: int, peer: Peer) -> None:
+        self.name = f"{HOST}:{port}"
+        context = zmq.asyncio.Context.instance()
+        self._listener = context.socket(zmq.PULL)
+        self._listener.bind(f"tcp://{self.name}")
+        self._sender = context.socket(zmq.PUSH)
+        self._sender.connect(f"tcp://{peer.name}")
+
+    async def send(self, message: PeerMessage) -> None:
+        await self._sender.send_multipart(
+            (self.name.encode(), PEER_CODEC.encode(message))
+        )
+
+    async def receive(self) -> PeerMessage:
+        async with asyncio.timeout(5.0):
+            frames = await self._listener.recv_multipart()
+        return PEER_CODEC.decode(frames[-1]).unwrap()
+
+    def close(self) -> None:
+        for opened in (self._listener, self._sender):
+            opened.close(linger=0)
+
+
+class TestEarlierBuilds:
+    # Guards against large messages that an instance of an earlier build can't read.
+    async def test_large_message_stays_in_one_frame(self) -> None:
+        own, other = find_free_ports(2)
+        peer = Peer(own)
+        await peer.network.start()
+        earlier = EarlierBuild(other, peer)
+        large = ControlRequest("r", bytes(200_000))
+        peer.network.send(earlier.name, large)
+        assert await earlier.receive() == large
+        await earlier.send(LeaderHint("x"))
+        await peer.wait_for_message(5.0)
+        assert peer.received == [(earlier.name, LeaderHint("x"))]
+        peer.network.send(earlier.name, large)
+        assert await earlier.receive() == large
+        earlier.close()
+        await peer.network.stop()
+
+    async def test_peer_that_returns_with_an_earlier_build_gets_one_frame(self) -> None:
+        own, other = find_free_ports(2)
+        peer, later = Peer(own), Peer(other)
+        await peer.network.start()
+        await later.network.start()
+        later.network.send(peer.name, LeaderHint("x"))
+        await peer.wait_for_message(5.0)
+        large = ControlRequest("r", bytes(200_000))
+        peer.network.send(later.name, large)
+        await later.wait_for_message(5.0)
+        assert later.received == [(peer.name, large)]
+        await later.network.stop()
+        peer.received.clear()
+        earlier = EarlierBuild(other, peer)
+        await earlier.send(LeaderHint("y"))
+        await peer.wait_for_message(5.0)
+        peer.network.send(earlier.name, large)
+        assert await earlier.receive() == large
+        earlier.close()
+        await peer.network.stop()
