Let an odd entry of the target list affect no other entry

Cause: the lister caught some errors of the JSON decoder only, so that a deep nesting left it and ended the watcher's task; numbers had no bounds, so that a record could not be encoded for other instances; ports were checked with isdigit. A page was one document, so that an entry that is not JSON hid all others.

Change: a package of bounds (heathertack.decoding) with one error type; a page is split into its entries by counting brackets where it can't be decoded; each entry is decoded by itself. The leader logs the first entry of each kind (target_unreadable).

--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -15,7 +15,12 @@
 from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._response_bodies import ResponseTooLargeError, read_limited
 from heathertackd._retry_allowance import RetryAllowance
-from heathertackd._watchers import ListedTarget, PlatformWatcher, TargetLister
+from heathertackd._watchers import (
+    ListedTarget,
+    PlatformWatcher,
+    TargetLister,
+    TargetListing,
+)
 
 __all__ = [
     "ConnectionBounds",
@@ -35,6 +40,7 @@
     "RetryAllowance",
     "StartError",
     "TargetLister",
+    "TargetListing",
     "choose_connection_bounds",
     "close_logs",
     "configure_logs",
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from typing import NamedTuple, Protocol, TypedDict
+from typing import Annotated, Literal, NamedTuple, Protocol, TypedDict
 
 import aiohttp
 import msgspec
@@ -17,6 +17,14 @@
     LoadReportReceived,
     PlatformTargetsListed,
 )
+from heathertack.decoding import (
+    MAX_TOKENS,
+    DecodingError,
+    Name,
+    decode_entries,
+    decode_json,
+    parse_address,
+)
 from heathertack.messages import TargetRecord, TargetState
 from heathertackd import _clock
 from heathertackd._engine_client import EngineClient
@@ -31,17 +39,18 @@
 _LEADERSHIP_POLL_SECONDS = 0.05
 
 
-class _PlatformInstance(TypedDict):
-    name: str
-    service: str
-    address: str
-    failure_domain: str
-    state: str
-    cache_tokens: int
+_ENTRY = "$.instances[]"
+#: Maximum number of kinds of unreadable entries that are logged.
+_MAX_LOGGED_KINDS = 100
 
 
-class _PlatformList(TypedDict):
-    instances: list[_PlatformInstance]
+class _PlatformInstance(TypedDict):
+    name: Annotated[Name, msgspec.Meta(min_length=1)]
+    service: Name
+    address: str
+    failure_domain: Name
+    state: Literal["live", "leaving"]
+    cache_tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 class ListedTarget(NamedTuple):
@@ -52,11 +61,22 @@
     version: str = ""
 
 
+class TargetListing(NamedTuple):
+    """The platform's list of targets at one moment."""
+
+    targets: tuple[ListedTarget, ...]
+    #: Why entries were left out.
+    errors: tuple[DecodingError, ...] = ()
+
+
 class TargetLister(Protocol):
     """Fetches the platform's list of targets."""
 
-    async def fetch(self) -> Result[tuple[ListedTarget, ...], str]:
-        """Return the whole list, or why it can't be read."""
+    async def fetch(self) -> Result[TargetListing, str]:
+        """Return the whole list, or why it can't be read.
+
+        An entry that can't be read does not affect the others.
+        """
         ...
 
 
@@ -75,18 +95,26 @@
         self._url = url
         self._session = session
 
-    async def fetch(self) -> Result[tuple[ListedTarget, ...], str]:
+    async def fetch(self) -> Result[TargetListing, str]:
         """Return the whole list, or why it can't be read."""
         timeout = aiohttp.ClientTimeout(total=_PLATFORM_TIMEOUT_SECONDS)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
                 body = await read_limited(response, _MAX_LIST_BYTES)
-            listed = msgspec.json.decode(body, type=_PlatformList)
-            return Success(
-                tuple(ListedTarget(_describe_target(i)) for i in listed["instances"])
-            )
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Failure(repr(error))
+        split = decode_entries("$", body, "instances")
+        if isinstance(split, Failure):
+            return Failure(str(split.failure()))
+        targets: list[ListedTarget] = []
+        errors: list[DecodingError] = []
+        for entry in split.unwrap().entries:
+            match _decode_target(entry):
+                case Success(target):
+                    targets.append(ListedTarget(target))
+                case Failure(error):
+                    errors.append(error)
+        return Success(TargetListing(tuple(targets), tuple(errors)))
 
 
 class PlatformWatcher:
@@ -112,6 +140,7 @@
         self._lister = lister
         self._interval = interval
         self._is_reachable = True
+        self._logged_kinds: set[tuple[str, str]] = set()
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -133,9 +162,11 @@
             self._instance.logger.warning(event, detail=detail)
         if not is_reachable or self._instance.grantor is None:
             return
+        listing: TargetListing = result.unwrap()
+        self._log_errors(listing.errors)
         targets = tuple(
             target._replace(record=self._complete(target.record))
-            for target in result.unwrap()
+            for target in listing.targets
         )
         self._log_changes(targets)
         listed = PlatformTargetsListed(
@@ -155,6 +186,17 @@
         slots = target.slots or engine["slots"]
         return target._replace(cache_tokens=engine["cache_tokens"], slots=slots)
 
+    def _log_errors(self, errors: tuple[DecodingError, ...]) -> None:
+        """Log the first entry of each kind that can't be read."""
+        for error in errors:
+            kind = (error.where, error.expected)
+            if kind in self._logged_kinds or (
+                len(self._logged_kinds) >= _MAX_LOGGED_KINDS
+            ):
+                continue
+            self._logged_kinds.add(kind)
+            self._instance.logger.warning("target_unreadable", detail=str(error))
+
     def _log_changes(self, targets: tuple[ListedTarget, ...]) -> None:
         known = self._instance.board.read(TARGETS)
         for target, version in targets:
@@ -223,13 +265,20 @@
             self._instance.carry_out(self._instance.admission.handle(received, now))
 
 
-def _describe_target(item: _PlatformInstance) -> TargetRecord:
-    is_live = item["state"] == "live"
-    return TargetRecord(
+def _decode_target(entry: msgspec.Raw) -> Result[TargetRecord, DecodingError]:
+    decoded = decode_json(_ENTRY, entry, _PlatformInstance)
+    if isinstance(decoded, Failure):
+        return Failure(decoded.failure())
+    item: _PlatformInstance = decoded.unwrap()
+    address = parse_address(f"{_ENTRY}.address", item["address"])
+    if isinstance(address, Failure):
+        return Failure(address.failure())
+    record = TargetRecord(
         name=item["name"],
         service=item["service"],
         address=item["address"],
         failure_domain=item["failure_domain"],
-        state=TargetState.LIVE if is_live else TargetState.LEAVING,
+        state=TargetState(item["state"]),
         cache_tokens=item["cache_tokens"],
     )
+    return Success(record)
