Give each decoder bounds and one type of error, and fuzz them

Cause: each place where bytes from outside become values caught the errors that its author had met. Deep nesting (RecursionError), numbers beyond 64 bits (OverflowError), bytes that are not UTF-8 (UnicodeEncodeError), packed data that is damaged and lists of no frames left the decoders, and ended the task that read them or the request (500).

A request whose headers are not UTF-8 is refused as not run (400). A bundle's numbers are bounded, so that one that was accepted can always be sent to other instances.

Found by the fuzzer while it was written: bundles with comments and lone surrogates that can't be encoded, and errors of many kilobytes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
 SOURCES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml constraints.txt
 
-.PHONY: test demo prove measure bench soak format
+.PHONY: test demo prove measure bench soak fuzz format
 
 $(VENV)/.installed: $(SOURCES)
 	$(PYTHON) -m venv $(VENV)
@@ -42,3 +42,8 @@
 # Injects random faults into running processes: make soak SEED=1 COUNT=50
 soak: $(VENV)/.installed
 	$(BIN)/python -m heathertack_platform.soak --seed=$(SEED) --count=$(COUNT)
+
+# Feeds bytes of other writers to all decoders: make fuzz SEED=1 COUNT=2000
+fuzz: $(VENV)/.installed
+	HYPOTHESIS_PROFILE=prove PROVE_COUNT=$(COUNT) $(BIN)/python -m pytest \
+		--hypothesis-seed=$(SEED) -k TestFuzz
--- a/packages/heathertack/src/heathertack/bundle/_difference.py
+++ b/packages/heathertack/src/heathertack/bundle/_difference.py
@@ -5,11 +5,17 @@
 import hashlib
 import zlib
 from collections.abc import Iterator, Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
+from returns.result import Failure, Result, Success
 
 from heathertack.bundle._model import Bundle
+from heathertack.decoding import DecodingError, decode_msgpack
+
+_MAX_UNPACKED_BYTES = 64 * 1024 * 1024
+
+Shape = TypeVar("Shape")
 
 
 class BundleChange(NamedTuple):
@@ -23,15 +29,25 @@
     after: Any
 
 
+_BUNDLE_DECODER = msgspec.msgpack.Decoder(Bundle)
+_CHANGES_DECODER = msgspec.msgpack.Decoder(tuple[BundleChange, ...])
+
+
 def compare_bundles(before: Bundle, after: Bundle) -> tuple[BundleChange, ...]:
     """Return every leaf value that differs, ordered by path."""
     return tuple(_compare((), before, after))
 
 
-def apply_changes(bundle: Bundle, changes: tuple[BundleChange, ...]) -> Bundle:
-    """Return a copy of a bundle with the changes applied."""
+def apply_changes(
+    bundle: Bundle, changes: tuple[BundleChange, ...]
+) -> Result[Bundle, DecodingError]:
+    """Return a copy of a bundle with the changes applied, if they fit it."""
     values = tuple((change.path, change.after) for change in changes)
-    return msgspec.convert(_merge(bundle, values), Bundle)
+    try:
+        return Success(msgspec.convert(_merge(bundle, values), Bundle))
+    except (TypeError, ValueError, RecursionError) as error:
+        expected = "changes that fit the bundle"
+        return Failure(DecodingError("changes", str(error), expected))
 
 
 def digest_content(bundle: Bundle) -> str:
@@ -54,9 +70,9 @@
     return zlib.compress(msgspec.msgpack.encode(bundle), level=1)
 
 
-def unpack_bundle(data: bytes) -> Bundle:
+def unpack_bundle(data: bytes) -> Result[Bundle, DecodingError]:
     """Return the bundle that :func:`pack_bundle` encoded."""
-    return msgspec.msgpack.decode(zlib.decompress(data), type=Bundle)
+    return _unpack("bundle", data, _BUNDLE_DECODER)
 
 
 def pack_changes(changes: tuple[BundleChange, ...]) -> bytes:
@@ -64,10 +80,23 @@
     return zlib.compress(msgspec.msgpack.encode(changes))
 
 
-def unpack_changes(data: bytes) -> tuple[BundleChange, ...]:
+def unpack_changes(data: bytes) -> Result[tuple[BundleChange, ...], DecodingError]:
     """Return the changes that :func:`pack_changes` encoded."""
-    encoded = zlib.decompress(data)
-    return msgspec.msgpack.decode(encoded, type=tuple[BundleChange, ...])
+    return _unpack("changes", data, _CHANGES_DECODER)
+
+
+def _unpack(
+    where: str, data: bytes, decoder: msgspec.msgpack.Decoder[Shape]
+) -> Result[Shape, DecodingError]:
+    unpacker = zlib.decompressobj()
+    try:
+        encoded = unpacker.decompress(data, _MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        return Failure(DecodingError(where, str(error), "compressed data"))
+    if not unpacker.eof:
+        expected = f"at most {_MAX_UNPACKED_BYTES} bytes, complete"
+        return Failure(DecodingError(where, "incomplete data", expected))
+    return decode_msgpack(where, encoded, decoder)
 
 
 def _compare(
--- a/packages/heathertack/src/heathertack/bundle/_model.py
+++ b/packages/heathertack/src/heathertack/bundle/_model.py
@@ -1,6 +1,10 @@
 """Types of the bundle document."""
 
-from typing import Literal, NotRequired, TypedDict
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+import msgspec
+
+from heathertack.decoding import MAX_COUNT, Integer, Seconds
 
 
 class PlainRoute(TypedDict):
@@ -27,19 +31,19 @@
     #: stream that may be resumed.
     kind: Literal["idempotent", "not_repeatable", "streaming", "resumable"]
     #: Share of the requests by service name, as relative weights.
-    services: dict[str, int]
+    services: dict[str, Integer]
     #: Maximum duration of a request, seconds.
-    timeout: float
+    timeout: Seconds
     #: Latency objective for the response, or for the first event of a stream,
     #: seconds.
-    latency_objective: NotRequired[float]
+    latency_objective: NotRequired[Seconds]
     #: Maximum interval between two events of a stream that counts as on time,
     #: seconds.
-    gap_objective: NotRequired[float]
+    gap_objective: NotRequired[Seconds]
     #: Requests with a higher priority are served first.
-    priority: int
+    priority: Integer
     #: Maximum number of targets that one request may be sent to.
-    max_attempts: int
+    max_attempts: Integer
     #: Whether requests need no caller key.
     public: NotRequired[bool]
 
@@ -48,11 +52,11 @@
     """Capacity and features of the model engines of a forwarding service."""
 
     #: Maximum number of generations that run concurrently.
-    slots: int
+    slots: Integer
     #: Capacity of the key-value cache, tokens.
-    cache_tokens: int
+    cache_tokens: Integer
     #: Number of tokens in one event of a stream.
-    event_tokens: NotRequired[int]
+    event_tokens: NotRequired[Integer]
     #: Whether a second engine can hold a backup of a generation's key-value cache.
     backups: NotRequired[bool]
     #: Whether the key-value cache of a generation can be moved to another engine.
@@ -63,13 +67,13 @@
     """Size limits and timeouts of callers' requests."""
 
     #: Maximum size of a request header, bytes.
-    max_header_bytes: int
+    max_header_bytes: Integer
     #: Maximum size of a request body, bytes.
-    max_body_bytes: int
+    max_body_bytes: Integer
     #: Maximum time to receive the header of a request, seconds.
-    header_timeout: float
+    header_timeout: Seconds
     #: Maximum time that a connection may be idle, seconds.
-    idle_timeout: float
+    idle_timeout: Seconds
 
 
 class ServiceConfiguration(TypedDict):
@@ -93,13 +97,13 @@
     #: How an instance handles requests while it can't confirm the current bundle.
     unconfirmed: NotRequired[Literal["refuse", "serve"]]
     #: Maximum number of tokens in one response.
-    max_output_tokens: NotRequired[int]
+    max_output_tokens: NotRequired[Integer]
     #: Maximum number of requests that wait for a target.
-    queue_limit: NotRequired[int]
+    queue_limit: NotRequired[Integer]
     #: Maximum time that a request waits for a target, seconds.
-    queue_timeout: NotRequired[float]
+    queue_timeout: NotRequired[Seconds]
     #: Maximum duration of one plain call, seconds.
-    call_timeout: NotRequired[float]
+    call_timeout: NotRequired[Seconds]
     #: Routes of a plain service; the first match applies.
     routes: NotRequired[list[PlainRoute]]
 
@@ -112,11 +116,11 @@
     #: SHA-256 of each further caller key of the account, hexadecimal.
     more_keys_sha256: NotRequired[list[str]]
     #: Overrides the priority of a route; higher values are served first.
-    priority: NotRequired[int]
+    priority: NotRequired[Integer]
     #: Weight of the account in the fair sharing of tokens.
-    share: float
+    share: Annotated[float, msgspec.Meta(le=MAX_COUNT)]
     #: Maximum number of the account's requests in progress on one instance.
-    max_in_progress: int
+    max_in_progress: Integer
     #: Class of the requests that specify none.
     default_class: str
 
@@ -125,11 +129,11 @@
     """The whole configuration at one version."""
 
     #: Version number, increased by every change.
-    version: int
+    version: Integer
     #: Services by name.
     services: dict[str, ServiceConfiguration]
     #: Priority by class name; higher values are served first.
-    classes: dict[str, int]
+    classes: dict[str, Integer]
     #: Client accounts by name.
     accounts: dict[str, AccountConfiguration]
     #: Routes of forwarding services by name.
--- a/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
+++ b/packages/heathertack/src/heathertack/bundle/tests/test_bundle.py
@@ -206,9 +206,11 @@
         new_text = json.dumps({"version": 2, "classes": new_classes, **empty})
         old = parse_bundle("old", old_text).unwrap()
         new = parse_bundle("new", new_text).unwrap()
-        changes = unpack_changes(pack_changes(compare_bundles(old, new)))
-        assert digest_content(apply_changes(old, changes)) == digest_content(new)
+        changes = unpack_changes(pack_changes(compare_bundles(old, new))).unwrap()
+        assert digest_content(apply_changes(old, changes).unwrap()) == digest_content(
+            new
+        )
 
     def test_unpacked_bundle_equals_the_packed_one(self) -> None:
         bundle = parse_bundle("b", json.dumps(BUNDLE)).unwrap()
-        assert unpack_bundle(pack_bundle(bundle)) == bundle
+        assert unpack_bundle(pack_bundle(bundle)) == Success(bundle)
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -354,10 +354,14 @@
     if push.base_index == 0:
         bundle = unpack_bundle(push.data)
     elif push.base_index == current.log_index and current.bundle is not None:
-        bundle = apply_changes(current.bundle, unpack_changes(push.data))
+        base = current.bundle
+        changes = unpack_changes(push.data)
+        bundle = changes.bind(lambda unpacked: apply_changes(base, unpacked))
     else:
         return None
-    return bundle if digest_content(bundle) == push.digest else None
+    unpacked = bundle.value_or(None)
+    is_whole = unpacked is not None and digest_content(unpacked) == push.digest
+    return unpacked if is_whole else None
 
 
 def _round_load(open_requests: int) -> int:
--- a/packages/heathertack/src/heathertack/decoding/__init__.py
+++ b/packages/heathertack/src/heathertack/decoding/__init__.py
@@ -10,6 +10,7 @@
 from heathertack.decoding._errors import DecodingError
 from heathertack.decoding._lists import SplitList, decode_entries
 from heathertack.decoding._numbers import parse_integer, parse_number
+from heathertack.decoding._texts import check_texts
 from heathertack.decoding._types import (
     MAX_COUNT,
     MAX_NAME_LENGTH,
@@ -40,6 +41,7 @@
     "SplitList",
     "Token",
     "check_depth",
+    "check_texts",
     "decode_entries",
     "decode_json",
     "decode_msgpack",
--- a/packages/heathertack/src/heathertack/messages/_codec.py
+++ b/packages/heathertack/src/heathertack/messages/_codec.py
@@ -7,8 +7,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from heathertack.decoding import DecodingError, decode_msgpack
+
 Message = TypeVar("Message")
 
+#: Longer names of unknown types are cut off in errors.
+_MAX_NAME_EXCERPT = 80
+
 
 class CodecError(NamedTuple):
     """The bytes do not encode a message of the expected set."""
@@ -41,11 +46,19 @@
 
     def decode(self, data: bytes) -> Result[Message, CodecError]:
         """Decode a message, or return why the bytes do not encode one."""
-        try:
-            name, body = self._envelope.decode(data)
-            decoder = self._decoders.get(name)
-            if decoder is None:
-                return Failure(CodecError(f"unknown message type {name!r}"))
-            return Success(cast(Message, decoder.decode(body)))
-        except msgspec.DecodeError as error:
-            return Failure(CodecError(str(error)))
+        envelope = decode_msgpack("message", data, self._envelope)
+        if isinstance(envelope, Failure):
+            return Failure(_describe(envelope.failure()))
+        name, body = envelope.unwrap()
+        decoder = self._decoders.get(name)
+        if decoder is None:
+            excerpt = name[:_MAX_NAME_EXCERPT]
+            return Failure(CodecError(f"unknown message type {excerpt!r}"))
+        message = decode_msgpack(name, body, decoder)
+        if isinstance(message, Failure):
+            return Failure(_describe(message.failure()))
+        return Success(cast(Message, message.unwrap()))
+
+
+def _describe(error: DecodingError) -> CodecError:
+    return CodecError(str(error))
--- a/packages/heathertack/src/heathertack/messages/_frames.py
+++ b/packages/heathertack/src/heathertack/messages/_frames.py
@@ -37,13 +37,15 @@
 
 def join_frames(frames: Sequence[bytes]) -> Result[bytes, str]:
     """Return the message that frames hold, or why they hold none."""
+    if not frames:
+        return Failure("no frame, expected at least one")
     kind, *parts = frames
     data = b"".join(parts)
     if kind == _PLAIN:
         return Success(data)
     if kind != _COMPRESSED:
         return Failure(
-            f"frames of kind {kind!r}, expected {_PLAIN!r} or {_COMPRESSED!r}"
+            f"frames of kind {kind[:8]!r}, expected {_PLAIN!r} or {_COMPRESSED!r}"
         )
     unpacker = zlib.decompressobj()
     try:
--- a/packages/heathertack/src/heathertack/schema/_check.py
+++ b/packages/heathertack/src/heathertack/schema/_check.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 from functools import cache
 from typing import (
+    Annotated,
     Any,
     Literal,
     NamedTuple,
@@ -21,6 +22,11 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from heathertack.decoding import check_depth
+
+#: Longer parts of an error are cut off.
+_MAX_ERROR_CHARACTERS = 400
+
 Shape = TypeVar("Shape")
 
 
@@ -37,7 +43,13 @@
     expected: str
 
     def __str__(self) -> str:
-        return f"{self.file}: {self.path}: found {self.found}, expected {self.expected}"
+        path, found, expected = map(_shorten, self[1:])
+        return f"{self.file}: {path}: found {found}, expected {expected}"
+
+
+def _shorten(text: str) -> str:
+    is_long = len(text) > _MAX_ERROR_CHARACTERS
+    return f"{text[:_MAX_ERROR_CHARACTERS]}..." if is_long else text
 
 
 def parse_document(file: str, text: str) -> Result[object, SchemaError]:
@@ -57,18 +69,28 @@
     """
     try:
         return Success(msgspec.json.decode(text))
-    except msgspec.DecodeError:
+    except RecursionError:
+        return Failure(_describe_nesting(file))
+    except ValueError:
         return _parse_with_comments(file, text)
 
 
 def _parse_with_comments(file: str, text: str) -> Result[object, SchemaError]:
     """Parse a document that is not plain JSON, which is much slower."""
     try:
-        return Success(jsonc.loads(text))
-    except ValueError as error:
+        value = jsonc.loads(text)
+        # The parser accepts text and numbers that can't be encoded again.
+        return Success(msgspec.json.decode(msgspec.json.encode(value)))
+    except RecursionError:
+        return Failure(_describe_nesting(file))
+    except (ValueError, OverflowError) as error:
         return Failure(SchemaError(file, "$", str(error), "JSON with comments"))
 
 
+def _describe_nesting(file: str) -> SchemaError:
+    return SchemaError(file, "$", "a nesting that is too deep", "JSON with comments")
+
+
 def convert_document(
     file: str, value: object, shape: type[Shape]
 ) -> Result[Shape, SchemaError]:
@@ -88,6 +110,9 @@
     Result[Shape, SchemaError]
         The typed document, or the error of the first invalid value.
     """
+    depth = check_depth("$", value)
+    if isinstance(depth, Failure):
+        return Failure(_describe_nesting(file))
     unknown = _find_unknown_field(shape, value, "$")
     if unknown is not None:
         return Failure(unknown._replace(file=file))
@@ -158,6 +183,9 @@
 def _describe_shape(shape: Any) -> str:
     if get_origin(shape) is Literal:
         return "one of " + ", ".join(str(option) for option in get_args(shape))
+    if get_origin(shape) is Annotated:
+        plain, *bounds = get_args(shape)
+        return f"{_describe_shape(plain)}{_describe_bounds(tuple(bounds))}"
     if is_typeddict(shape):
         return "the fields " + ", ".join(sorted(shape.__required_keys__))
     return str(getattr(shape, "__name__", shape))
@@ -170,6 +198,15 @@
     return shape
 
 
+def _describe_bounds(bounds: tuple[Any, ...]) -> str:
+    """Return the range that annotations of a type give, empty without one."""
+    minimum = [b.ge for b in bounds if isinstance(b, msgspec.Meta) and b.ge is not None]
+    maximum = [b.le for b in bounds if isinstance(b, msgspec.Meta) and b.le is not None]
+    return "".join(
+        (*(f" from {bound}" for bound in minimum), *(f" to {b}" for b in maximum))
+    )
+
+
 @cache
 def _field_types(shape: Any) -> dict[str, Any]:
     return get_type_hints(shape, include_extras=True)
--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, NotRequired, TypedDict
 
+from heathertack.decoding import Integer, Seconds
+
 
 class Address(TypedDict):
     """Address of a listening socket."""
@@ -9,7 +11,7 @@
     #: IP address, not a host name.
     host: str
     #: TCP port.
-    port: int
+    port: Integer
 
 
 class PeerSettings(TypedDict):
@@ -33,17 +35,17 @@
     """Resource limits of one instance."""
 
     #: Maximum size of a request body, bytes.
-    max_body_bytes: NotRequired[int]
+    max_body_bytes: NotRequired[Integer]
     #: Maximum size of a request header, bytes.
-    max_header_bytes: NotRequired[int]
+    max_header_bytes: NotRequired[Integer]
     #: Maximum number of concurrent caller connections.
-    max_connections: NotRequired[int]
+    max_connections: NotRequired[Integer]
     #: Maximum number of concurrently open generations.
-    max_streams: NotRequired[int]
+    max_streams: NotRequired[Integer]
     #: Maximum time that one write to a caller may block, seconds.
-    caller_write_timeout: NotRequired[float]
+    caller_write_timeout: NotRequired[Seconds]
     #: Maximum time that a caller may take to send its request, seconds.
-    request_read_timeout: NotRequired[float]
+    request_read_timeout: NotRequired[Seconds]
 
 
 class MembershipSettings(TypedDict):
@@ -59,21 +61,21 @@
     #: The seeds then become the initial replicas of the control log.
     first_start: NotRequired[bool]
     #: Number of instances with a disk that may be lost at the same time.
-    tolerated_losses: NotRequired[int]
+    tolerated_losses: NotRequired[Integer]
 
 
 class TimingSettings(TypedDict):
     """Time limits of the deployment from which intervals are derived, seconds."""
 
     #: Maximum time until an accepted bundle is in force at connected instances.
-    propagation: NotRequired[float]
+    propagation: NotRequired[Seconds]
     #: Time after which a disconnected instance stops serving client accounts.
-    disconnected_service: NotRequired[float]
+    disconnected_service: NotRequired[Seconds]
     #: Time from the signal to leave until the process is killed.
-    leaving_grace: NotRequired[float]
+    leaving_grace: NotRequired[Seconds]
     #: How long callers may still use the address of a leaving instance; by default
     #: the lifetime of an address response plus the duration of a lease.
-    leaving_accepts: NotRequired[float]
+    leaving_accepts: NotRequired[Seconds]
 
 
 class Settings(TypedDict):
@@ -104,7 +106,7 @@
     #: URL of the platform's list of live and leaving instances.
     platform_url: str
     #: How long a caller may cache an address response, seconds.
-    address_ttl: NotRequired[float]
+    address_ttl: NotRequired[Seconds]
     #: Minimum level of logged events.
     log_level: NotRequired[str]
     #: Resource limits of this instance.
--- a/packages/heathertack/src/heathertack/storage/_identity.py
+++ b/packages/heathertack/src/heathertack/storage/_identity.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from heathertack.consensus import HardState, Membership, Snapshot
+from heathertack.decoding import decode_json
 from heathertack.storage._disk import Disk
 from heathertack.storage._records import encode_snapshot, write_segment
 from heathertack.storage._types import StorageError
@@ -15,6 +16,14 @@
 _IDENTITY_FILE = "identity.json"
 
 
+class _IdentityDocument(TypedDict):
+    """Identity of a data folder as its file holds it."""
+
+    cluster: str
+    instance: str
+    storage_id: str
+
+
 class StorageIdentity(NamedTuple):
     """Identity of the replica to which a data folder belongs."""
 
@@ -77,10 +86,11 @@
                 StorageError(_IDENTITY_FILE, 0, "no identity file", "an empty folder")
             )
         return Success(None)
-    try:
-        identity = StorageIdentity(**msgspec.json.decode(data, type=dict[str, str]))
-    except (msgspec.DecodeError, TypeError) as error:
-        return Failure(StorageError(_IDENTITY_FILE, 0, str(error), "an identity"))
+    decoded = decode_json(_IDENTITY_FILE, data, _IdentityDocument)
+    if isinstance(decoded, Failure):
+        found = str(decoded.failure())
+        return Failure(StorageError(_IDENTITY_FILE, 0, found, "an identity"))
+    identity = StorageIdentity(**decoded.unwrap())
     if (identity.cluster, identity.instance) != (cluster, instance):
         found = f"{identity.cluster}/{identity.instance}"
         expected = f"{cluster}/{instance}"
--- a/packages/heathertack/src/heathertack/storage/_records.py
+++ b/packages/heathertack/src/heathertack/storage/_records.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 import msgspec
+from returns.result import Result
 
 from heathertack.consensus import HardState, LogEntry, Snapshot
+from heathertack.decoding import DecodingError, decode_msgpack
 from heathertack.storage._disk import Disk
 from heathertack.storage._frames import encode_frame
 
@@ -25,14 +27,18 @@
     entries: tuple[LogEntry, ...] = ()
 
 
+_RECORDS_DECODER = msgspec.msgpack.Decoder(tuple[StorageRecord, ...])
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(Snapshot)
+
+
 def encode_records(records: tuple[StorageRecord, ...]) -> bytes:
     """Encode records as one frame."""
     return encode_frame(msgspec.msgpack.encode(records))
 
 
-def decode_records(payload: bytes) -> tuple[StorageRecord, ...]:
+def decode_records(payload: bytes) -> Result[tuple[StorageRecord, ...], DecodingError]:
     """Decode the payload of a frame."""
-    return msgspec.msgpack.decode(payload, type=tuple[StorageRecord, ...])
+    return decode_msgpack("records", payload, _RECORDS_DECODER)
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
@@ -40,9 +46,9 @@
     return encode_frame(msgspec.msgpack.encode(snapshot))
 
 
-def decode_snapshot(payload: bytes) -> Snapshot:
+def decode_snapshot(payload: bytes) -> Result[Snapshot, DecodingError]:
     """Decode the payload of a snapshot's frame."""
-    return msgspec.msgpack.decode(payload, type=Snapshot)
+    return decode_msgpack("snapshot", payload, _SNAPSHOT_DECODER)
 
 
 def segment_name(index: int) -> str:
--- a/packages/heathertack/src/heathertack/storage/_replica.py
+++ b/packages/heathertack/src/heathertack/storage/_replica.py
@@ -8,7 +8,7 @@
 
 from heathertack.consensus import DurableState, HardState, LogEntry, Snapshot
 from heathertack.storage._disk import Disk
-from heathertack.storage._frames import CorruptFrame, decode_frames
+from heathertack.storage._frames import CorruptFrame, decode_frames, encode_frame
 from heathertack.storage._records import (
     SNAPSHOT_FILE,
     StorageRecord,
@@ -129,7 +129,9 @@
         return Failure(StorageError(segment, 0, found, "the first frame of a segment"))
     if frames.valid_length < len(data):
         disk.replace(segment, data[: frames.valid_length])
-    replay = _replay(frames.payloads)
+    replay = _replay(segment, frames.payloads)
+    if isinstance(replay, StorageError):
+        return Failure(replay)
     entries = _select_entries_after(replay.entries, snapshot)
     durable = DurableState(replay.hard_state, snapshot, entries)
     return Success(OpenedStorage(ReplicaStorage(disk, segment, durable), durable))
@@ -141,14 +143,24 @@
     if isinstance(frames, CorruptFrame) or len(frames.payloads) != 1:
         found = "no file" if data is None else "not exactly one valid frame"
         return StorageError(SNAPSHOT_FILE, 0, found, "one valid frame")
-    return decode_snapshot(frames.payloads[0])
+    decoded = decode_snapshot(frames.payloads[0])
+    if isinstance(decoded, Failure):
+        found = str(decoded.failure())
+        return StorageError(SNAPSHOT_FILE, 0, found, "a snapshot")
+    return decoded.unwrap()
 
 
-def _replay(payloads: tuple[bytes, ...]) -> _ReplayedState:
+def _replay(segment: str, payloads: tuple[bytes, ...]) -> _ReplayedState | StorageError:
     hard_state = HardState()
     entries: list[LogEntry] = []
+    offset = 0
     for payload in payloads:
-        for record in decode_records(payload):
+        decoded = decode_records(payload)
+        if isinstance(decoded, Failure):
+            found = str(decoded.failure())
+            return StorageError(segment, offset, found, "records of the log")
+        offset += len(encode_frame(payload))
+        for record in decoded.unwrap():
             if record.hard_state is not None:
                 hard_state = record.hard_state
             if record.truncate_from:
--- a/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
+++ b/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
@@ -178,7 +178,7 @@
 
 class TestBundles:
     def test_packed_bundle(self) -> None:
-        bundle = unpack_bundle(decode(RECORDED["bundle"]["packed"]))
+        bundle = unpack_bundle(decode(RECORDED["bundle"]["packed"])).unwrap()
         assert canonical_text(bundle) == RECORDED["bundle"]["text"]
         assert read_canonical(RECORDED["bundle"]["text"]) == bundle
         recorded = zlib.decompress(decode(RECORDED["bundle"]["packed"]))
@@ -186,7 +186,7 @@
 
     def test_packed_changes(self) -> None:
         data = decode(RECORDED["bundle"]["changes"])
-        packed = pack_changes(unpack_changes(data))
+        packed = pack_changes(unpack_changes(data).unwrap())
         assert zlib.decompress(packed) == zlib.decompress(data)
 
     @pytest.mark.parametrize("kind", NAMED)
--- a/packages/heathertackd/src/heathertackd/_caller_api.py
+++ b/packages/heathertackd/src/heathertackd/_caller_api.py
@@ -33,6 +33,7 @@
 from heathertackd._refusals import (
     RefusedError,
     body_too_large,
+    check_request_text,
     not_run,
     refusal_response,
 )
@@ -103,6 +104,7 @@
             drain = self._instance.drain
             drain.handle(RequestOpened(), _clock.monotonic())
             try:
+                check_request_text(request)
                 return await handler(request)
             except RefusedError as error:
                 account = self._instance.metrics.account_label("unknown")
--- a/packages/heathertackd/src/heathertackd/_control_client.py
+++ b/packages/heathertackd/src/heathertackd/_control_client.py
@@ -34,8 +34,8 @@
     def __init__(self) -> None:
         #: Instance to which the command was last sent.
         self.leader = ""
-        #: Encoded result once the command is committed.
-        self.result: bytes | None = None
+        #: Result once the command is committed.
+        self.result: Result | None = None
         #: Set when a reply ends the wait.
         self.is_answered = asyncio.Event()
 
@@ -77,7 +77,16 @@
                 status=reply.status.value,
             )
         elif reply.status is ControlStatus.DONE:
-            pending.result = reply.result
+            decoded = RESULT_CODEC.decode(reply.result)
+            if isinstance(decoded, Failure):
+                self._logger.warning(
+                    "control_reply_unreadable",
+                    request=reply.request_id,
+                    sender=sender,
+                    detail=decoded.failure().detail,
+                )
+                return
+            pending.result = decoded.unwrap()
             pending.is_answered.set()
         elif sender == pending.leader:
             pending.is_answered.set()
@@ -114,11 +123,11 @@
             )
         finally:
             del self._pending[request.request_id]
-        return Success(RESULT_CODEC.decode(result).unwrap())
+        return Success(result)
 
     async def _commit(
         self, request: ControlRequest, pending: _PendingCommand, transfer: float
-    ) -> bytes:
+    ) -> Result:
         while pending.result is None:
             leader = self._find_leader()
             if leader:
--- a/packages/heathertackd/src/heathertackd/_engine_client.py
+++ b/packages/heathertackd/src/heathertackd/_engine_client.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict, TypeVar
 
 import aiohttp
-import msgspec
 from returns.result import Failure, Result, Success
 
 from heathertack.controllers import EngineLoad, LinkFailure
+from heathertack.decoding import Count, decode_json
 from heathertackd._response_bodies import read_limited
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
@@ -22,6 +22,8 @@
 #: A longer description of an error is cut off.
 _MAX_ERROR_BYTES = 500
 
+Shape = TypeVar("Shape")
+
 
 class EngineEvent(NamedTuple):
     """One event of a generation stream."""
@@ -40,21 +42,43 @@
     detail: str
 
 
-class _WireEvent(TypedDict, total=False):
+class _WireEvent(TypedDict):
     id: str
-    offset: int
-    text: str
-    finish_reason: str | None
+    offset: Count
+    text: NotRequired[str]
+    finish_reason: NotRequired[str | None]
+
+
+class StatusDocument(TypedDict):
+    """Load report of an engine as it is sent."""
+
+    sequence: Count
+    running: Count
+    waiting: Count
+    cache_tokens: Count
+    cache_capacity: Count
+    preemptions: Count
+    model: NotRequired[str]
+    version: NotRequired[str]
+    adapters: NotRequired[list[str]]
+    fencing_number: NotRequired[Count]
+    is_loading: NotRequired[bool]
 
 
 class CacheEvent(NamedTuple):
     """Prompt prefixes that an engine stored in or evicted from its cache."""
 
-    sequence: int
+    sequence: Count
     stored: tuple[int, ...]
     evicted: tuple[int, ...]
 
 
+class CacheEventsDocument(TypedDict):
+    """Cache events of an engine as they are sent."""
+
+    events: list[CacheEvent]
+
+
 class EngineStatus(NamedTuple):
     """Load report of an engine and the configuration it was ordered to apply."""
 
@@ -66,9 +90,6 @@
     is_loading: bool
 
 
-_EVENT_DECODER = msgspec.json.Decoder(_WireEvent)
-
-
 class EngineClient:
     """Sends requests to model engines.
 
@@ -128,7 +149,7 @@
 
     async def fetch_status(self, address: str) -> EngineStatus | None:
         """Return the load report of an engine, ``None`` if it can't be fetched."""
-        document = await self._fetch(f"http://{address}/load")
+        document = await self._fetch(f"http://{address}/load", StatusDocument)
         if document is None:
             return None
         load = EngineLoad(
@@ -152,10 +173,9 @@
         self, address: str, after: int
     ) -> tuple[CacheEvent, ...]:
         """Return the cache events after a sequence number, none on failure."""
-        document = await self._fetch(f"http://{address}/cache_events?after={after}")
-        if document is None:
-            return ()
-        return tuple(msgspec.convert(document["events"], list[CacheEvent]))
+        url = f"http://{address}/cache_events?after={after}"
+        document = await self._fetch(url, CacheEventsDocument)
+        return tuple(document["events"]) if document is not None else ()
 
     async def send_order(self, address: str, order: dict[str, Any]) -> int:
         """Send an order to an engine; return the HTTP status, 0 on failure."""
@@ -167,17 +187,16 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
 
-    async def _fetch(self, url: str) -> Any:
+    async def _fetch(self, url: str, shape: type[Shape]) -> Shape | None:
         timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_SECONDS)
         try:
             async with self._session.get(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                return msgspec.json.decode(
-                    await read_limited(response, _MAX_REPORT_BYTES)
-                )
+                body = await read_limited(response, _MAX_REPORT_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
+        return decode_json(url, body, shape).value_or(None)
 
 
 async def read_events(
@@ -198,7 +217,7 @@
         *lines, buffered = (buffered + chunk).split(b"\n")
         if len(buffered) > _MAX_EVENT_BYTES:
             raise aiohttp.ClientPayloadError("stream event exceeds the size limit")
-        events = tuple(_parse_line(line) for line in lines if _is_event(line))
+        events = tuple(parse_event_line(line) for line in lines if _is_event(line))
         if events:
             yield events
 
@@ -208,18 +227,25 @@
     return data.startswith(_EVENT_PREFIX) and not data.endswith(_DONE_MARKER)
 
 
-def _parse_line(line: bytes) -> EngineEvent:
-    try:
-        event = _EVENT_DECODER.decode(line.strip()[len(_EVENT_PREFIX) :])
-        return EngineEvent(
-            event["id"],
-            event["offset"],
-            event.get("text", ""),
-            event.get("finish_reason") or "",
-        )
-    except (msgspec.DecodeError, KeyError) as error:
-        detail = f"malformed stream event: {error}"
-        raise aiohttp.ClientPayloadError(detail) from error
+def parse_event_line(line: bytes) -> EngineEvent:
+    """Parse the line of a stream that holds an event.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If it holds none.
+    """
+    data = line.strip()[len(_EVENT_PREFIX) :]
+    decoded = decode_json("stream event", data, _WireEvent)
+    if isinstance(decoded, Failure):
+        raise aiohttp.ClientPayloadError(str(decoded.failure()))
+    event: _WireEvent = decoded.unwrap()
+    return EngineEvent(
+        event["id"],
+        event["offset"],
+        event.get("text", ""),
+        event.get("finish_reason") or "",
+    )
 
 
 def _stream_timeout() -> aiohttp.ClientTimeout:
--- a/packages/heathertackd/src/heathertackd/_operator_api.py
+++ b/packages/heathertackd/src/heathertackd/_operator_api.py
@@ -23,6 +23,7 @@
     ReplicaOperation,
     ReplyToCommand,
 )
+from heathertack.decoding import decode_json
 from heathertack.messages import ControlStatus
 from heathertack.operators import (
     BundleDocument,
@@ -52,6 +53,7 @@
 )
 from heathertackd import _clock
 from heathertackd._instance import Instance
+from heathertackd._refusals import RefusedError, check_request_text
 
 _COMMIT_TIMEOUT_SECONDS = 5.0
 _IN_FORCE_TIMEOUT_SECONDS = 5.0
@@ -92,6 +94,10 @@
         """Accept only requests that a trusted operator signed."""
 
         async def checked(request: web.Request) -> web.Response:
+            try:
+                check_request_text(request)
+            except RefusedError as error:
+                return _error(400, error.refusal.code, error.refusal.message)
             operator = verify_request(
                 request.headers,
                 self._instance.settings["operator_keys"],
@@ -340,10 +346,8 @@
 
 
 async def _read_document(request: web.Request, document_type: type[Document]) -> Any:
-    try:
-        return Success(msgspec.json.decode(await request.read(), type=document_type))
-    except msgspec.DecodeError as error:
-        return Failure(f"the body can't be read: {error}")
+    decoded = decode_json("body", await request.read(), document_type)
+    return decoded.alt(lambda error: f"the body can't be read: {error}")
 
 
 def _respond_to_reply(reply: ReplyToCommand) -> web.Response:
--- a/packages/heathertackd/src/heathertackd/_refusals.py
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -7,8 +7,10 @@
 
 import msgspec
 from aiohttp import web
+from returns.result import Failure
 
 from heathertack.controllers import Execution, Refusal
+from heathertack.decoding import check_texts
 
 
 class RefusedError(Exception):
@@ -68,6 +70,20 @@
     return Refusal(code, message, Execution.NOT_RUN, retry_after)
 
 
+def check_request_text(request: web.BaseRequest) -> None:
+    """Check that the path and the headers of a request can be passed on.
+
+    Raises
+    ------
+    RefusedError
+        If they hold bytes that are not UTF-8.
+    """
+    path = ("the path", request.raw_path)
+    checked = check_texts((path, *request.headers.items()))
+    if isinstance(checked, Failure):
+        raise RefusedError(not_run("invalid_request", str(checked.failure())))
+
+
 def body_too_large(limit: int) -> Refusal:
     """Return the refusal of a body that is larger than a limit in bytes."""
     return not_run("body_too_large", f"the body has more than {limit} bytes")
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -109,7 +109,7 @@
         targets: list[ListedTarget] = []
         errors: list[DecodingError] = []
         for entry in split.unwrap().entries:
-            match _decode_target(entry):
+            match decode_target(entry):
                 case Success(target):
                     targets.append(ListedTarget(target))
                 case Failure(error):
@@ -265,7 +265,8 @@
             self._instance.carry_out(self._instance.admission.handle(received, now))
 
 
-def _decode_target(entry: msgspec.Raw) -> Result[TargetRecord, DecodingError]:
+def decode_target(entry: msgspec.Raw) -> Result[TargetRecord, DecodingError]:
+    """Decode an entry of the list, or return why it names no target to use."""
     decoded = decode_json(_ENTRY, entry, _PlatformInstance)
     if isinstance(decoded, Failure):
         return Failure(decoded.failure())
--- a/packages/heathertackd/src/heathertackd/_wire.py
+++ b/packages/heathertackd/src/heathertackd/_wire.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from heathertack.decoding import MAX_TOKENS, DecodingError, check_depth, decode_json
+
 _ESTIMATED_CHARACTERS_PER_TOKEN = 4
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
 
 
+_Tokens = Annotated[int, msgspec.Meta(le=MAX_TOKENS)]
+
+
 class _ChatMessage(TypedDict):
     role: str
     content: Any
@@ -23,8 +28,8 @@
     prompt: NotRequired[str]
     messages: NotRequired[list[_ChatMessage]]
     stream: NotRequired[bool]
-    max_tokens: NotRequired[int | None]
-    max_completion_tokens: NotRequired[int | None]
+    max_tokens: NotRequired[_Tokens | None]
+    max_completion_tokens: NotRequired[_Tokens | None]
 
 
 class CompletionRequest(NamedTuple):
@@ -61,11 +66,10 @@
     Result[CompletionRequest, str]
         The request, or what is wrong with it.
     """
-    try:
-        body = msgspec.json.decode(data, type=dict[str, Any])
-        typed = msgspec.convert(body, _CompletionBody)
-    except msgspec.DecodeError as error:
-        return Failure(f"the body can't be read: {error}")
+    checked = _check_body(data)
+    if isinstance(checked, Failure):
+        return Failure(f"the body can't be read: {checked.failure()}")
+    body, typed = checked.unwrap()
     if path == CHAT_PATH and not typed.get("messages"):
         return Failure("the body has no messages")
     if path == TEXT_PATH and "prompt" not in typed:
@@ -84,6 +88,20 @@
     return Success(request)
 
 
+def _check_body(
+    data: bytes,
+) -> Result[tuple[dict[str, Any], _CompletionBody], DecodingError]:
+    """Return the whole body and its fields that are used here."""
+    body = decode_json("body", data, dict[str, Any])
+    if isinstance(body, Failure):
+        return Failure(body.failure())
+    depth = check_depth("body", body.unwrap())
+    if isinstance(depth, Failure):
+        return Failure(depth.failure())
+    typed = decode_json("body", data, _CompletionBody)
+    return typed.map(lambda fields: (body.unwrap(), fields))
+
+
 def _join_prompt(path: str, body: _CompletionBody) -> str:
     if path == TEXT_PATH:
         return body["prompt"]
--- a/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_dialect.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple, Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
+
+from heathertack.decoding import MAX_COUNT, parse_number
 
 Headers = CIMultiDictProxy[str]
 
@@ -100,13 +102,8 @@
     text = headers.get(name)
     if text is None:
         return Success(None)
-    try:
-        rate = float(text)
-    except ValueError:
-        rate = -1.0
-    if not 0.0 <= rate < float("inf"):
-        return Failure(f"{name} has {text!r}, expected requests a second")
-    return Success(rate)
+    rate = parse_number(name, text.strip(), MAX_COUNT, "requests a second")
+    return rate.alt(str)
 
 
 def read_pause(status: int, headers: Headers) -> Result[float | None, str]:
@@ -114,13 +111,7 @@
     text = headers.get(_RETRY_AFTER)
     if status != _UNAVAILABLE_STATUS or text is None:
         return Success(None)
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = -1.0
-    if not 0.0 <= seconds < float("inf"):
-        return Failure(f"{_RETRY_AFTER} has {text!r}, expected seconds")
-    return Success(seconds)
+    return parse_number(_RETRY_AFTER, text.strip(), MAX_COUNT, "seconds").alt(str)
 
 
 class ForwardingDialect(Protocol):
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -18,7 +18,7 @@
 from heathertackd import _clock
 from heathertackd._caller_limits import choose_caller_limits
 from heathertackd._instance import Instance
-from heathertackd._refusals import RefusedError, not_run
+from heathertackd._refusals import RefusedError, check_request_text, not_run
 from heathertackd._sockets import open_target_socket
 from heathertackd._transmissions import (
     prevent_resending,
@@ -157,6 +157,7 @@
             )
         limits = choose_caller_limits(bundle, self._limits)
         _check_header(request, limits.max_header_bytes)
+        check_request_text(request)
         path = request.raw_path
         match = view.routes.find(request.headers.get("Host", ""), path)
         if match is None:
--- a/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_standard_dialect.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
+from heathertack.decoding import MAX_SECONDS, parse_number
 from heathertackd.forwarding._dialect import (
     ForwardAttempt,
     Headers,
@@ -43,18 +44,16 @@
         scheme, _, key = headers.get("Authorization", "").partition(" ")
         if scheme not in ("", "Bearer"):
             return Failure(f"authorization scheme {scheme!r}, expected 'Bearer'")
-        text = headers.get(_TIMEOUT, "")
-        try:
-            timeout = float(text) if text else None
-        except ValueError:
-            return Failure(f"{_TIMEOUT} is {text!r}, expected a number of seconds")
+        timeout = _read_timeout(headers)
+        if isinstance(timeout, Failure):
+            return Failure(timeout.failure())
         kept = copy_end_to_end(headers, _OWN_HEADERS)
         last_event_id = headers.get("Last-Event-Id", "")
         return Success(
             RequestHead(
                 request_id,
                 key,
-                timeout,
+                timeout.unwrap(),
                 kept,
                 last_event_id=last_event_id,
                 resumed_request_id=headers.get(_RESUMED_REQUEST_ID, ""),
@@ -91,3 +90,11 @@
     def format_retry_after(self, seconds: float) -> str:
         """Return a ``Retry-After`` value in whole seconds, as RFC 9110 requires."""
         return str(math.ceil(seconds))
+
+
+def _read_timeout(headers: Headers) -> Result[float | None, str]:
+    text = headers.get(_TIMEOUT, "")
+    if not text:
+        return Success(None)
+    number = parse_number(_TIMEOUT, text.strip(), MAX_SECONDS, "a number of seconds")
+    return number.alt(str)
