Restart background work that fails, or leave without it

Cause: start_background_task logged the exception that ended a task and nothing else. The reader of the target list, the receiver of peer messages, the ticks that renew leases and the thread of the control log each ended with the first error that nobody had expected, and the process went on without them.

Change: BackgroundWork declares name, start and policy of each task where it is started. Steps are isolated from each other: each message of a peer, each controller of a tick, each stream of the monitor, each engine that is polled. The control log is opened again after any error. Errors of callbacks are logged and counted.

--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -3,7 +3,7 @@
 from heathertackd._caller_limits import choose_connection_bounds
 from heathertackd._clock import monotonic
 from heathertackd._connection_guard import ConnectionBounds, ConnectionGuard
-from heathertackd._daemon import Daemon, StartError
+from heathertackd._daemon import Daemon, StartError, WorkLostError
 from heathertackd._disk import FolderDisk
 from heathertackd._frontend import Frontend, FrontendFactory
 from heathertackd._instance import Instance
@@ -15,6 +15,7 @@
 from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._response_bodies import ResponseTooLargeError, read_limited
 from heathertackd._retry_allowance import RetryAllowance
+from heathertackd._supervision import BackgroundWork, FailurePolicy
 from heathertackd._watchers import (
     ListedTarget,
     PlatformWatcher,
@@ -23,9 +24,11 @@
 )
 
 __all__ = [
+    "BackgroundWork",
     "ConnectionBounds",
     "ConnectionGuard",
     "Daemon",
+    "FailurePolicy",
     "FolderDisk",
     "Frontend",
     "FrontendFactory",
@@ -41,6 +44,7 @@
     "StartError",
     "TargetLister",
     "TargetListing",
+    "WorkLostError",
     "choose_connection_bounds",
     "close_logs",
     "configure_logs",
--- a/packages/heathertackd/src/heathertackd/_control_log_runner.py
+++ b/packages/heathertackd/src/heathertackd/_control_log_runner.py
@@ -26,6 +26,7 @@
 from heathertack.state import AcceptedBundle
 from heathertackd import _clock
 from heathertackd._logs import Logger
+from heathertackd._supervision import FailureLog
 
 #: Delay before each attempt to reopen a replica whose disk failed.
 _REOPEN_DELAY_SECONDS = 0.5
@@ -72,6 +73,7 @@
         self._thread: threading.Thread | None = None
         self._stopping = threading.Event()
         self._can_queue_clock_event = True
+        self._record: Callable[[Exception], None] = lambda error: None
 
     @property
     def bundle(self) -> AcceptedBundle | None:
@@ -88,10 +90,24 @@
         """Current membership of the log."""
         return self._controller.replica.membership
 
-    def start(self, handle_actions: ActionHandler) -> None:
-        """Start the thread; actions are handled on the running event loop."""
+    def start(self, handle_actions: ActionHandler, failures: FailureLog) -> None:
+        """Start the thread.
+
+        Parameters
+        ----------
+        handle_actions : callable
+            Handles actions; called on the running event loop.
+        failures : FailureLog
+            Log of failures; used on the running event loop.
+        """
         loop = asyncio.get_running_loop()
 
+        def record(error: Exception) -> None:
+            if not self._stopping.is_set():
+                loop.call_soon_threadsafe(failures.record, "control_log", error)
+
+        self._record = record
+
         def post(actions: tuple[ControlLogAction, ...]) -> None:
             if actions and not self._stopping.is_set():
                 loop.call_soon_threadsafe(handle_actions, actions)
@@ -131,6 +147,10 @@
             except OSError as error:
                 self._logger.error("control_log_disk_failed", detail=str(error))
                 self._reopen()
+            except Exception as error:
+                # As after a restart, the state is what the disk holds.
+                self._record(error)
+                self._reopen()
 
     def _take_batch(self) -> list[ControlLogEvent]:
         """Return the queued events, up to a batch; wait for the first one."""
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -6,7 +6,8 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -28,7 +29,6 @@
     open_storage,
 )
 from heathertackd import _clock
-from heathertackd._background_tasks import start_background_task
 from heathertackd._control_log_runner import ControlLogRunner
 from heathertackd._disk import FolderDisk
 from heathertackd._frontend import Frontend, FrontendFactory
@@ -36,6 +36,7 @@
 from heathertackd._logs import Logger
 from heathertackd._peers import PeerNetworkError
 from heathertackd._sockets import open_target_socket
+from heathertackd._supervision import BackgroundWork, Supervisor
 
 _DRAIN_POLL_SECONDS = 0.1
 #: Interval between checks for settings that changed without a signal.
@@ -52,6 +53,10 @@
     """The daemon can't start with its settings on this machine."""
 
 
+class WorkLostError(Exception):
+    """The daemon left since a part of its work kept failing."""
+
+
 def form_cluster(settings: Settings) -> str:
     """Format the data folder as the first replica of a new cluster.
 
@@ -195,7 +200,7 @@
         self._tuning = tuning
         self._stop_now = asyncio.Event()
         self._leaving = asyncio.Event()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._lost_work = False
 
     async def run(self) -> None:
         """Serve until a signal requests a shutdown and no work is in progress.
@@ -204,6 +209,8 @@
         ------
         StartError
             If an address or the data folder can't be used.
+        WorkLostError
+            If the daemon left since a part of its work kept failing.
         """
         board = Blackboard()
         control_log = open_control_log(self._settings, board, self._logger)
@@ -215,20 +222,27 @@
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         ) as session:
             frontend = self._build_frontend(instance, session)
+            supervisor = Supervisor(instance.failures, self._logger, self._lose_work)
+            self._log_unhandled_errors(instance)
             try:
                 await self._start(instance, frontend)
-                for work in frontend.background_work():
-                    self._start_task(work)
-                self._start_task(self._watch_settings(instance))
+                watch_settings = partial(self._watch_settings, instance)
+                for work in (
+                    *instance.background_work(),
+                    *frontend.background_work(),
+                    BackgroundWork("settings", watch_settings),
+                ):
+                    supervisor.start(work)
                 self._install_signal_handlers()
                 self._logger.info("started", incarnation=instance.incarnation)
                 await self._serve(instance, frontend)
             finally:
-                for task in self._tasks:
-                    task.cancel()
+                supervisor.stop()
                 await frontend.stop()
                 await instance.stop()
         self._logger.info("stopped")
+        if self._lost_work:
+            raise WorkLostError("a part of the background work kept failing")
 
     async def _start(self, instance: Instance, frontend: Frontend) -> None:
         try:
@@ -242,8 +256,21 @@
         except PeerNetworkError as error:
             raise StartError(f"settings: $.peer: {error}") from error
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(start_background_task(coroutine, self._logger))
+    def _lose_work(self) -> None:
+        """Leave, since the daemon can't keep its promises without this work."""
+        self._lost_work = True
+        self._leaving.set()
+
+    def _log_unhandled_errors(self, instance: Instance) -> None:
+        """Log the errors of callbacks and of tasks that nobody awaits."""
+
+        def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+            del loop
+            message = str(context.get("message", ""))
+            error = context.get("exception") or RuntimeError(message)
+            instance.failures.record("event_loop", error, message=message[:200])
+
+        asyncio.get_running_loop().set_exception_handler(handle)
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/heathertackd/src/heathertackd/_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_frontend.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from typing import Protocol
 
 import aiohttp
 
 from heathertackd._instance import Instance
+from heathertackd._supervision import BackgroundWork
 
 
 class Frontend(Protocol):
@@ -23,8 +23,8 @@
         """
         ...
 
-    def background_work(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return coroutines that run until the daemon stops."""
+    def background_work(self) -> tuple[BackgroundWork, ...]:
+        """Return the work that runs until the daemon stops."""
         ...
 
     def stop_accepting(self) -> None:
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -127,7 +127,6 @@
 from heathertack.settings import Settings
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
-from heathertackd._background_tasks import start_background_task
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
@@ -137,6 +136,13 @@
 from heathertackd._peers import PeerNetwork
 from heathertackd._push_log import PushLog
 from heathertackd._retry_allowance import RetryAllowance
+from heathertackd._supervision import (
+    BackgroundWork,
+    FailureLog,
+    FailurePolicy,
+    StepGuard,
+    StuckError,
+)
 
 _CONTROL_TICK_SECONDS = 0.05
 #: Time reserved before the process would be killed, to end its responses cleanly.
@@ -208,6 +214,8 @@
         self.board = board
         self.logger = logger
         self.metrics = Metrics()
+        self.failures = FailureLog(logger, self.metrics)
+        self._steps = StepGuard(self.failures)
         self.address_ttl = settings.get("address_ttl", _DEFAULT_ADDRESS_TTL_SECONDS)
         self.incarnation = int(_clock.wall_time() * 1000)
         self.control_log = control_log
@@ -234,14 +242,15 @@
         self._logged_may_lead = False
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
-        self.network = PeerNetwork(settings, self.receive, self.metrics, logger)
+        self.network = PeerNetwork(
+            settings, self.receive, self.metrics, logger, self.failures
+        )
         self.control = ControlClient(self.send, self._find_leader, logger)
         self._commands = CommandQueue(self.control, logger)
         self._listeners: dict[str, PlacementListener] = {}
         self._in_force_events: dict[int, asyncio.Event] = {}
         self._bundle_waiters: set[asyncio.Future[None]] = set()
         self._local_reply_callbacks: dict[str, Callable[[ReplyToCommand], None]] = {}
-        self._task: asyncio.Task[None] | None = None
         self.explanations = ExplanationLog()
         self.retry_allowance = RetryAllowance()
 
@@ -261,18 +270,28 @@
         return bundle["version"] if bundle is not None else 0
 
     async def start(self) -> None:
-        """Open the connections to other instances and start the periodic work."""
+        """Open the connections to other instances and start the control log."""
         await self.network.start()
         if self.control_log is not None:
             if self.control_log.bundle is not None:
                 self._carry_out((AnnounceBundle(self.control_log.bundle),))
-            self.control_log.start(self._carry_out)
-        self._task = start_background_task(self._run_ticks(), self.logger)
+            self.control_log.start(self._carry_out, self.failures)
+
+    def background_work(self) -> tuple[BackgroundWork, ...]:
+        """Return the work that runs from the start of the instance until its stop.
+
+        An instance whose leases are not renewed, or that hears of no other one, must
+        not go on: others rely on what it reports, and it on what they tell.
+        """
+        return (
+            BackgroundWork(
+                "peer_receiver", self.network.receive_all, FailurePolicy.LEAVE
+            ),
+            BackgroundWork("ticks", self._run_ticks, FailurePolicy.LEAVE),
+        )
 
     async def stop(self) -> None:
-        """Stop the periodic work and close the connections to other instances."""
-        if self._task is not None:
-            self._task.cancel()
+        """Stop the control log and close the connections to other instances."""
         if self.control_log is not None:
             self.control_log.stop()
         self._commands.stop()
@@ -467,25 +486,59 @@
         pause = _CONTROL_TICK_SECONDS if is_control else _ENTRY_TICK_SECONDS
         while True:
             self._tick_controllers()
+            stuck = self._steps.find_stuck(_clock.monotonic())
+            if stuck is not None:
+                raise StuckError(f"the step {stuck} keeps failing")
             await asyncio.sleep(pause)
 
     def _tick_controllers(self) -> None:
         now = _clock.monotonic()
         passed = TimePassed(_clock.wall_time())
-        self.post_control(passed)
+        steps: tuple[tuple[str, Callable[[], object]], ...] = (
+            ("control_log_tick", lambda: self.post_control(passed)),
+            ("grantor_tick", lambda: self._tick_grantor(passed, now)),
+            (
+                "lease_tick",
+                lambda: self._carry_out(self.lease_holder.handle(LeaseDue(), now)),
+            ),
+            (
+                "admission_tick",
+                lambda: self._carry_out(self.admission.handle(AdmissionDue(), now)),
+            ),
+            (
+                "placement_tick",
+                lambda: self._carry_out(self.placement.handle(PlacementDue(), now)),
+            ),
+            (
+                "quarantine_tick",
+                lambda: self._carry_out(self.quarantine.handle(QuarantineDue(), now)),
+            ),
+            (
+                "origins_tick",
+                lambda: self._carry_out(self.origins.handle(OriginsDue(), now)),
+            ),
+            ("pauses_tick", lambda: self.pauses.handle(PausesDue(), now)),
+            ("limits_tick", lambda: self._tick_limits(now)),
+            ("leaving_targets_tick", lambda: self._tick_leaving_targets(now)),
+            ("logs_tick", lambda: self._tick_logs(now)),
+        )
+        for name, step in steps:
+            self._steps.run(name, step)
+
+    def _tick_grantor(self, passed: TimePassed, now: float) -> None:
         if self.grantor is not None:
             self._carry_out(self.grantor.handle(passed, now))
-        self._carry_out(self.lease_holder.handle(LeaseDue(), now))
-        self._carry_out(self.admission.handle(AdmissionDue(), now))
-        self._carry_out(self.placement.handle(PlacementDue(), now))
-        self._carry_out(self.quarantine.handle(QuarantineDue(), now))
-        self._carry_out(self.origins.handle(OriginsDue(), now))
-        self.pauses.handle(PausesDue(), now)
+
+    def _tick_limits(self, now: float) -> None:
         expired = self.limits.handle(LimitsDue(), now)
         if expired:
             self._log_limits(expired, "expired")
+
+    def _tick_leaving_targets(self, now: float) -> None:
         gone = self.leaving_targets.handle(LeavingTargetsDue(), now)
         self._apply_leaving_targets(gone, "table")
+
+    def _tick_logs(self, now: float) -> None:
         self._log_quarantine()
         self._log_may_lead(now)
         self._pushes.flush(now)
--- a/packages/heathertackd/src/heathertackd/_leaving_watcher.py
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -65,7 +65,14 @@
             engines = [t for t in self._plan.list_watched() if _is_live(t)]
             engines.extend(self._list_contradicted())
             allowed = [engine for engine in engines if self._may_poll(engine)]
-            await asyncio.gather(*(self._poll(engine) for engine in allowed))
+            results = await asyncio.gather(
+                *(self._poll(engine) for engine in allowed), return_exceptions=True
+            )
+            for engine, result in zip(allowed, results, strict=True):
+                if isinstance(result, Exception):
+                    self._instance.failures.record(
+                        "engine_report", result, target=engine.name
+                    )
             await asyncio.sleep(self._interval)
 
     def _list_contradicted(self) -> tuple[TargetRecord, ...]:
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -95,6 +95,12 @@
             ("direction",),
             registry=self._registry,
         )
+        self.task_failures = Counter(
+            "heathertack_task_failures",
+            "Failed steps of background work",
+            ("task",),
+            registry=self._registry,
+        )
         self.open_requests = Gauge(
             "heathertack_open_requests",
             "Requests in progress",
--- a/packages/heathertackd/src/heathertackd/_order_runner.py
+++ b/packages/heathertackd/src/heathertackd/_order_runner.py
@@ -48,7 +48,14 @@
         while True:
             targets = self._engine_targets()
             if self._is_leader():
-                await asyncio.gather(*(self._poll(target) for target in targets))
+                results = await asyncio.gather(
+                    *(self._poll(target) for target in targets), return_exceptions=True
+                )
+                for target, result in zip(targets, results, strict=True):
+                    if isinstance(result, Exception):
+                        self._instance.failures.record(
+                            "weights_report", result, target=target.name
+                        )
                 await self._send_due_orders()
             pause = max(_MIN_ROUND_SECONDS, len(targets) / _MAX_REPORTS_PER_SECOND)
             await asyncio.sleep(pause)
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -11,6 +10,7 @@
 from returns.result import Failure, Success
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from heathertack.decoding import parse_address
 from heathertack.messages import (
     PEER_CODEC,
     PeerMessage,
@@ -18,9 +18,9 @@
     join_frames,
 )
 from heathertack.settings import Settings
-from heathertackd._background_tasks import start_background_task
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
+from heathertackd._supervision import FailureLog
 
 _MAX_QUEUED_MESSAGES = 1000
 #: An unresponsive connection is replaced well within the wait for a lease (1.5 s).
@@ -31,6 +31,9 @@
 #: The kernel retries a connection attempt at growing intervals. A new attempt is
 #: started after this time, so that a link is used soon after a network partition.
 _CONNECT_TIMEOUT_MS = 500
+_MAX_SENDER_BYTES = 256
+#: Maximum number of unreachable instances that are logged.
+_MAX_LOGGED_PEERS = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 MessageHandler = Callable[[str, PeerMessage], None]
@@ -78,9 +81,9 @@
     """Looks up instances whose name is their address."""
 
     def find(self, instance: str) -> PeerAddress | None:
-        """Return the address, ``None`` if the name is not ``host:port``."""
-        host, _, port = instance.rpartition(":")
-        return PeerAddress(instance) if host and port.isdigit() else None
+        """Return the address, ``None`` if the name is not ``ip:port``."""
+        is_address = isinstance(parse_address("instance", instance), Success)
+        return PeerAddress(instance) if is_address else None
 
 
 class _KnownKeys:
@@ -108,6 +111,8 @@
         Counts messages and bytes.
     logger : Logger
         Logger of the instance.
+    failures : FailureLog
+        Log of messages that can't be handled.
     """
 
     def __init__(
@@ -116,11 +121,13 @@
         receive: MessageHandler,
         metrics: Metrics,
         logger: Logger,
+        failures: FailureLog,
     ) -> None:
         self._settings = settings
         self._receive = receive
         self._metrics = metrics
         self._logger = logger
+        self._failures = failures
         self._name = settings["instance"].encode()
         self._is_encrypted = "membership" not in settings
         self._directory: PeerDirectory = (
@@ -143,7 +150,7 @@
         self._public_key = (
             zmq.curve_public(self._secret_key) if self._is_encrypted else b""
         )
-        self._task: asyncio.Task[None] | None = None
+        self._unreachable: set[str] = set()
 
     async def start(self) -> None:
         """Open the listener.
@@ -174,12 +181,9 @@
             message = f"can't listen on {endpoint}: {error}"
             raise PeerNetworkError(message) from error
         self._listener = listener
-        self._task = start_background_task(self._receive_all(listener), self._logger)
 
     async def stop(self) -> None:
         """Close all connections."""
-        if self._task is not None:
-            self._task.cancel()
         if self._listener is not None:
             self._listener.close()
         for sender in self._senders.values():
@@ -195,7 +199,11 @@
             peer = self._directory.find(instance)
             if peer is None:
                 return
-            sender = self._connect(peer)
+            try:
+                sender = self._connect(peer)
+            except zmq.ZMQError as error:
+                self._log_unreachable(instance, str(error))
+                return
             self._senders[instance] = sender
         frames = self._build_frames(instance, PEER_CODEC.encode(message))
         try:
@@ -229,7 +237,11 @@
         sender.connect(f"tcp://{peer.address}")
         return sender
 
-    async def _receive_all(self, listener: zmq.asyncio.Socket) -> None:
+    async def receive_all(self) -> None:
+        """Handle messages until cancelled; :meth:`start` was called before."""
+        listener = self._listener
+        if listener is None:
+            raise PeerNetworkError("the listener is not open")
         while True:
             try:
                 frames = await listener.recv_multipart(copy=False)
@@ -241,13 +253,16 @@
             parts = [frame.bytes for frame in frames[1:]]
             self._metrics.peer_messages.labels("received").inc()
             self._metrics.peer_bytes.labels("received").inc(sum(map(len, parts)))
-            self._handle(sender, parts)
+            try:
+                self._handle(sender, parts)
+            except Exception as error:
+                self._failures.record("peer_message", error, sender=sender)
 
     def _identify(self, frame: zmq.Frame) -> str:
         """Return the sender: authenticated if encrypted, else as it names itself."""
         if self._is_encrypted:
             return self._names.get(str(frame.get("User-Id")), "")
-        return frame.bytes.decode(errors="replace")
+        return frame.bytes[:_MAX_SENDER_BYTES].decode(errors="replace")
 
     def _handle(self, sender: str, parts: list[bytes]) -> None:
         if len(parts) == 1:
@@ -269,7 +284,15 @@
             case Failure(error):
                 self._log_unreadable(sender, error.detail)
 
+    def _log_unreachable(self, instance: str, detail: str) -> None:
+        """Log an instance once that no connection can be opened for."""
+        if instance in self._unreachable or len(self._unreachable) >= _MAX_LOGGED_PEERS:
+            return
+        self._unreachable.add(instance)
+        self._logger.warning("peer_unreachable", peer=instance, detail=detail)
+
     def _log_unreadable(self, sender: str, detail: str) -> None:
+        detail = detail[:500]
         self._logger.warning("peer_message_unreadable", sender=sender, detail=detail)
 
 
--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
-from typing import Any
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -18,6 +17,7 @@
 from heathertackd._instance import Instance
 from heathertackd._operator_api import OperatorApi
 from heathertackd._order_runner import OrderRunner
+from heathertackd._supervision import BackgroundWork
 from heathertackd._watchers import LoadWatcher, PlatformWatcher, StandardTargetLister
 from heathertackd.forwarding import (
     Forwarder,
@@ -69,22 +69,25 @@
         http = self._instance.settings["http"]
         await web.TCPSite(self._runner, http["host"], http["port"]).start()
 
-    def background_work(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return coroutines that run until the daemon stops."""
-        work: list[Coroutine[Any, Any, None]] = [
-            PlatformWatcher(
-                self._instance,
-                StandardTargetLister(
-                    self._instance.settings["platform_url"], self._session
-                ),
-            ).run(),
-            LoadWatcher(self._instance, self._engines).run(),
-            self._forwarder.monitor_streams(),
+    def background_work(self) -> tuple[BackgroundWork, ...]:
+        """Return the work that runs until the daemon stops."""
+        lister = StandardTargetLister(
+            self._instance.settings["platform_url"], self._session
+        )
+        work = [
+            BackgroundWork("target_list", PlatformWatcher(self._instance, lister).run),
+            BackgroundWork(
+                "load_reports", LoadWatcher(self._instance, self._engines).run
+            ),
+            BackgroundWork("stream_monitor", self._forwarder.monitor_streams),
         ]
         if self._instance.control_log is not None:
-            work.append(OrderRunner(self._instance, self._engines).run())
-        if self._runner.server is not None:
-            work.append(self._guard.run(self._runner.server))
+            orders = OrderRunner(self._instance, self._engines)
+            work.append(BackgroundWork("orders", orders.run))
+        server = self._runner.server
+        if server is not None:
+            sweep = partial(self._guard.run, server)
+            work.append(BackgroundWork("connection_guard", sweep))
         return tuple(work)
 
     def stop_accepting(self) -> None:
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -232,8 +232,13 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            watched = self._instance.admission.watched_targets
-            await asyncio.gather(*(self._poll(target) for target in watched))
+            watched = tuple(self._instance.admission.watched_targets)
+            results = await asyncio.gather(
+                *(self._poll(target) for target in watched), return_exceptions=True
+            )
+            for target, result in zip(watched, results, strict=True):
+                if isinstance(result, Exception):
+                    self._instance.failures.record("load_report", result, target=target)
             await asyncio.sleep(_LOAD_POLL_SECONDS)
 
     async def _poll(self, target: str) -> None:
--- a/packages/heathertackd/src/heathertackd/command.py
+++ b/packages/heathertackd/src/heathertackd/command.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Success
 
 from heathertack.settings import Settings, parse_settings
-from heathertackd._daemon import Daemon, StartError, form_cluster
+from heathertackd._daemon import Daemon, StartError, WorkLostError, form_cluster
 from heathertackd._logs import Logger, close_logs, configure_logs
 from heathertackd._standard_frontend import StandardFrontend
 
@@ -34,6 +34,7 @@
   0  done
   1  the daemon can't start on this machine
   2  the settings can't be used
+  3  the daemon left since a part of its work kept failing
 """
 
 
@@ -43,6 +44,7 @@
     DONE = 0
     CANT_START = 1
     INVALID_SETTINGS = 2
+    WORK_LOST = 3
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -51,8 +53,8 @@
     path = Path(options["SETTINGS"])
     try:
         text = path.read_text()
-    except OSError as error:
-        print(f"heathertackd: {path}: {error.strerror}", file=sys.stderr)
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"heathertackd: {path}: {error}", file=sys.stderr)
         return ExitCode.INVALID_SETTINGS
     match parse_settings(str(path), text):
         case Success(settings):
@@ -76,6 +78,9 @@
     except StartError as error:
         print(f"heathertackd: {error}", file=sys.stderr)
         return ExitCode.CANT_START
+    except WorkLostError as error:
+        print(f"heathertackd: {error}", file=sys.stderr)
+        return ExitCode.WORK_LOST
     return ExitCode.DONE
 
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -97,7 +97,7 @@
             TargetClient(session, dialect, TargetAnswers(instance)),
             dialect,
             RetryLimits(instance.board, instance.retry_allowance),
-            StreamMonitor(),
+            StreamMonitor(instance.failures),
             mover,
         )
         self._request_numbers = count(1)
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_monitor.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_monitor.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Protocol
 
+from heathertackd._supervision import FailureLog
+
 #: An instance may learn that a target leaves only a few hundred milliseconds before
 #: the target stops.
 _CHECK_INTERVAL_SECONDS = 0.05
@@ -19,9 +21,16 @@
 
 
 class StreamMonitor:
-    """Periodically checks every open stream for the need to move."""
+    """Periodically checks every open stream for the need to move.
+
+    Parameters
+    ----------
+    failures : FailureLog
+        Log of failures.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, failures: FailureLog) -> None:
+        self._failures = failures
         self._streams: set[MonitoredStream] = set()
 
     def add(self, stream: MonitoredStream) -> None:
@@ -36,5 +45,8 @@
         """Check the streams until cancelled."""
         while True:
             for stream in tuple(self._streams):
-                stream.move_if_at_risk()
+                try:
+                    stream.move_if_at_risk()
+                except Exception as error:
+                    self._failures.record("stream_move", error)
             await asyncio.sleep(_CHECK_INTERVAL_SECONDS)
--- a/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
@@ -25,6 +25,8 @@
 from heathertack.storage.tests.memory_disk import MemoryDisk
 from heathertackd import configure_logs, monotonic
 from heathertackd._control_log_runner import ControlLogRunner
+from heathertackd._metrics import Metrics
+from heathertackd._supervision import FailureLog
 
 IDENTITY = StorageIdentity("test", "p", "s1")
 WAIT_TIMEOUT_SECONDS = 8.0
@@ -56,6 +58,7 @@
     def __init__(self, disk: FaultyDisk) -> None:
         self.disk = disk
         self.board = Blackboard()
+        self.metrics = Metrics()
         self.replies: dict[str, ControlStatus] = {}
         self.runner = ControlLogRunner(
             self.board, self._build, configure_logs("p", "critical")
@@ -102,7 +105,8 @@
     disk = FaultyDisk()
     format_folder(disk, IDENTITY, initial_voters=(IDENTITY.replica,))
     log = RunningLog(disk)
-    log.runner.start(log.record_replies)
+    failures = FailureLog(configure_logs("test", "critical"), log.metrics)
+    log.runner.start(log.record_replies, failures)
     ticker = asyncio.create_task(_tick(log))
     try:
         await log.wait_for(lambda: log.is_leader)
@@ -214,3 +218,23 @@
             assert log.is_leader
             monkeypatch.setattr(time, "clock_gettime", after_suspension)
             assert not log.is_leader
+
+
+class TestFailingController:
+    # Guards against a thread that ends with an error of the replica, while the process
+    # goes on without a control log.
+    async def test_log_is_opened_again(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async with run_log() as log:
+            failing = log.runner.controller
+
+            def fail(event: object, now: float) -> tuple[ControlLogAction, ...]:
+                raise RuntimeError(f"can't handle {event} at {now}")
+
+            monkeypatch.setattr(failing, "handle", fail)
+            await log.wait_for(lambda: log.runner.controller is not failing)
+            await log.wait_for(lambda: log.is_leader)
+            log.submit("c1")
+            await log.wait_for(lambda: log.replies.get("c1") is ControlStatus.DONE)
+            assert log.draining == {"c1"}
+            rendered = log.metrics.render().decode()
+            assert 'heathertack_task_failures_total{task="control_log"}' in rendered
--- a/packages/heathertackd/src/heathertackd/tests/test_slow_peers.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_slow_peers.py
@@ -66,8 +66,8 @@
         own, proxy, other = find_free_ports(3)
         sender, receiver = Peer(own), Peer(other, f"{HOST}:{proxy}")
         link = SlowLink(other, _LINK_MEGABITS)
-        await receiver.network.start()
-        await sender.network.start()
+        await receiver.start()
+        await sender.start()
         try:
             async with link.listen(proxy):
                 receiver.network.send(sender.name, LeaderHint("y"))
@@ -85,8 +85,8 @@
                         while len(receiver.received) <= len(sent):
                             await asyncio.sleep(0.1)
         finally:
-            await sender.network.stop()
-            await receiver.network.stop()
+            await sender.stop()
+            await receiver.stop()
         received = [message for _, message in receiver.received]
         assert [type(m).__name__ for m in received] == [
             *("ControlRequest" for _ in sent),
