Believe a software version only while the leader's message about it is known

What could happen: an instance that had the targets and not yet their versions took all of them for one version, moved and copied streams between them, and recorded streams with the origin ''. A version that changed under a known name was believed for good if the message with it was lost. The message of a former leader could overwrite that of the next one.

Change: a version that has not arrived is unknown, and nothing is compatible with it. The leader publishes a record and its version always together, without a change of the messages; an instance that gets a record without the version forgets the old one and asks again. Messages of versions of an older term are dropped.

--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -336,9 +336,11 @@
         self._listed = {target.name: target for target in event.targets}
         changed = False
         for name in names:
-            changed |= self._put_target(name)
             version = TargetVersion(name, event.versions.get(name, ""))
-            changed |= self._versions.put(name, version)
+            if self._versions.put(name, version):
+                self._targets.touch(name)
+                changed = True
+            changed |= self._put_target(name)
         for name in tuple(self._targets):
             previous = self._targets.find(name)
             if name not in names and previous is not None:
@@ -362,14 +364,18 @@
         """Set the state of a listed target and return whether it changed.
 
         A report that the target is leaving takes precedence, since the platform's
-        list may lag behind it.
+        list may lag behind it. A record and its version are always published together,
+        so that an instance notices if the message with the version is lost.
         """
         target = self._listed.get(name)
         if target is None:
             return False
         if name in self._cordoned or name in self._reported_leaving:
             target = target._replace(state=TargetState.LEAVING)
-        return self._targets.put(name, target)
+        is_changed = self._targets.put(name, target)
+        if is_changed:
+            self._versions.touch(name)
+        return is_changed
 
     def _push_target(
         self, target: str, control: ControlView, now: float
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -143,6 +143,9 @@
         self._unanswered_since: float | None = None
         self._redirected_at = float("-inf")
         self._next_full_request = float("-inf")
+        self._versions_term = 0
+        #: Targets whose version has arrived since the latest grant.
+        self._received_versions: set[str] = set()
         board.register(self)
 
     @property
@@ -229,18 +232,45 @@
         return TableVersion()
 
     def _apply_versions(self, received: TargetVersions) -> tuple[SendToPeer, ...]:
-        if received.term < self._term:
+        if received.term < max(self._term, self._versions_term):
             return ()
+        if received.term > self._versions_term:
+            self._received_versions.clear()
+        self._versions_term = received.term
+        self._received_versions.update(target for target, _ in received.versions)
         known = self._board.read(TARGET_VERSIONS)
         versions = {**known, **dict(received.versions)}
         self._board.write(self, TARGET_VERSIONS, versions)
         return ()
 
-    def _forget_versions(self) -> None:
-        """Remove the versions of targets that are no longer in the table."""
+    def _take_received_versions(self, term: int) -> frozenset[str]:
+        """Return the targets whose version came before a grant of a term."""
+        received = frozenset(self._received_versions)
+        self._received_versions.clear()
+        return received if term == self._versions_term else frozenset()
+
+    def _forget_versions(
+        self, grant: LeaseGrant, received_versions: frozenset[str]
+    ) -> None:
+        """Remove the versions of targets that may be old.
+
+        The versions of all records in a grant come before it. If that message was lost,
+        the targets may have started again with other software.
+        """
         targets = self._board.read(TARGETS)
         known = self._board.read(TARGET_VERSIONS)
-        versions = {name: known[name] for name in known if name in targets}
+        lost = {
+            target.name
+            for target in grant.targets
+            if target.state is not TargetState.GONE
+            and target.name not in received_versions
+        }
+        is_complete = grant.is_full and grant.is_settled
+        versions = {
+            name: known[name]
+            for name in known
+            if name not in lost and (name in targets or not is_complete)
+        }
         if len(versions) != len(known):
             self._board.write(self, TARGET_VERSIONS, versions)
 
@@ -291,6 +321,7 @@
         return self._request(now)
 
     def _apply_grant(self, grant: LeaseGrant, now: float) -> tuple[SendToPeer, ...]:
+        received_versions = self._take_received_versions(grant.term)
         current = self._board.read(BUNDLE)
         is_other_incarnation = grant.incarnation != self._identity.incarnation
         is_old = grant.term < self._term or grant.bundle_index < current.log_index
@@ -310,7 +341,7 @@
                 RouteTable(bundle.get("routes", {})),
             )
             self._board.write(self, BUNDLE, view)
-        self._apply_tables(grant)
+        self._apply_tables(grant, received_versions)
         lease = self._board.read(LEASE)
         valid_until = max(lease.valid_until, grant.sent_at + grant.duration)
         self._board.write(self, LEASE, LeaseView(valid_until, grant.leader))
@@ -318,7 +349,9 @@
             return self._request(now)
         return ()
 
-    def _apply_tables(self, grant: LeaseGrant) -> None:
+    def _apply_tables(
+        self, grant: LeaseGrant, received_versions: frozenset[str]
+    ) -> None:
         is_same_term = grant.table.term == self._table.term
         if not grant.is_full and not is_same_term:
             return
@@ -333,8 +366,7 @@
         targets.update({record.name: record for record in grant.targets})
         self._board.write(self, MEMBERS, members)
         self._write_targets(targets)
-        if replaces_tables:
-            self._forget_versions()
+        self._forget_versions(grant, received_versions)
         if grant.suspects is not None:
             self._board.write(self, SUSPECTS, dict(grant.suspects))
         if grant.is_settled or not grant.is_full:
--- a/packages/heathertack/src/heathertack/controllers/_software_versions.py
+++ b/packages/heathertack/src/heathertack/controllers/_software_versions.py
@@ -9,10 +9,9 @@
 def find_version(board: Blackboard, target: str) -> str | None:
     """Return the software version of a target, ``None`` while it is not known.
 
-    All targets have the same version if the leader publishes none, as older builds do.
+    The leader publishes an empty version if the platform names none.
     """
-    versions = board.read(TARGET_VERSIONS)
-    return versions.get(target) if versions else ""
+    return board.read(TARGET_VERSIONS).get(target)
 
 
 def can_copy(board: Blackboard, source: str, target: str) -> bool:
--- a/packages/heathertack/src/heathertack/controllers/_tables.py
+++ b/packages/heathertack/src/heathertack/controllers/_tables.py
@@ -43,6 +43,12 @@
         self._rows[name] = _Row(record, self._next_sequence())
         return True
 
+    def touch(self, name: str) -> None:
+        """Publish a record again, if there is one of that name."""
+        row = self._rows.get(name)
+        if row is not None:
+            self._rows[name] = _Row(row.record, self._next_sequence())
+
     def clear(self) -> None:
         """Remove all records."""
         self._rows.clear()
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -22,6 +22,8 @@
     TableVersion,
     TargetRecord,
     TargetState,
+    TargetVersion,
+    TargetVersions,
 )
 from heathertack.policy import ADMISSION_TUNING
 from heathertack.settings import Settings
@@ -228,6 +230,7 @@
             for record in self.instance.board.read(TARGETS).values()
         )
         granted = grant(self.instance, None, records, 2)
+        self.instance.receive(INSTANCE_NAME, publish_versions(records))
         self.instance.receive(INSTANCE_NAME, granted._replace(bundle_index=1))
 
     def count_received(self) -> int:
@@ -264,6 +267,11 @@
     return bundle
 
 
+def publish_versions(targets: tuple[TargetRecord, ...]) -> TargetVersions:
+    """Return what the leader sends before a grant if the platform names no versions."""
+    return TargetVersions(1, tuple(TargetVersion(t.name, "") for t in targets))
+
+
 def grant(
     instance: Instance,
     bundle: Bundle | None,
@@ -340,6 +348,7 @@
         for n, address in enumerate(addresses)
     )
     bundle = None if without_bundle else build_bundle(bundle_route, backups=backups)
+    instance.receive(INSTANCE_NAME, publish_versions(records))
     instance.receive(INSTANCE_NAME, grant(instance, bundle, records))
     instance.lease_holder.handle(LeaseDue(), monotonic())
     dialect = RecordingDialect()
