Continue no stream on versions that an instance may have missed a change of

What could happen: an instance that is cut off goes on with its tables until its lease ends. A target that it knows can leave within that time and start again under its name with another software version; a stream that a caller takes up at the instance goes on there (ORDER).

Cause: nothing said how old a version is. A lease bounds the age of the bundle, not that of the targets: it is 0.6 of the time of revocation, the notice of a target is another bound.

Change: a lease view tells when the tables were last confirmed. Streams are resumed, taken over and moved only while that is younger than the notice (drain_ms) less 0.8 s for the poll of the list and its way to the instance; else refused as not run, with 1 s to come back. New streams are not affected. On sites with a notice of 4 s and leases of 3 s nothing changes.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -31,6 +31,9 @@
     valid_until: float = float("-inf")
     #: Instance that leads, empty if unknown.
     leader: str = ""
+    #: Time at which the bundle and the tables were last known to be those of the
+    #: leader, monotonic clock, seconds.
+    confirmed_at: float = float("-inf")
 
     def is_valid(self, now: float) -> bool:
         """Return whether the instance may accept new work."""
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -180,6 +180,7 @@
 )
 from heathertack.controllers._readiness import is_ready
 from heathertack.controllers._software_versions import (
+    are_versions_confirmed,
     can_copy,
     find_version,
     has_version,
@@ -373,6 +374,7 @@
     "WatchPlan",
     "WeightsReported",
     "accepts_new_work",
+    "are_versions_confirmed",
     "can_copy",
     "choose_addresses",
     "derive_lease_timings",
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -344,7 +344,9 @@
         self._apply_tables(grant, received_versions)
         lease = self._board.read(LEASE)
         valid_until = max(lease.valid_until, grant.sent_at + grant.duration)
-        self._board.write(self, LEASE, LeaseView(valid_until, grant.leader))
+        confirmed_at = max(lease.confirmed_at, grant.sent_at)
+        renewed = LeaseView(valid_until, grant.leader, confirmed_at)
+        self._board.write(self, LEASE, renewed)
         if grant.bundle_index > current.log_index:
             return self._request(now)
         return ()
--- a/packages/heathertack/src/heathertack/controllers/_software_versions.py
+++ b/packages/heathertack/src/heathertack/controllers/_software_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heathertack.blackboard import TARGET_VERSIONS, TARGETS, Blackboard
+from heathertack.blackboard import LEASE, TARGET_VERSIONS, TARGETS, Blackboard
 from heathertack.messages import TargetState
 
 
@@ -14,6 +14,26 @@
     return board.read(TARGET_VERSIONS).get(target)
 
 
+def are_versions_confirmed(
+    board: Blackboard, now: float, max_age: float | None
+) -> bool:
+    """Return whether no target can have started again with another version unseen.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Blackboard of the instance.
+    now : float
+        Monotonic clock, seconds.
+    max_age : float or None
+        Time within which no target can leave and start again, seconds; ``None`` if it
+        is longer than a lease.
+    """
+    lease = board.read(LEASE)
+    is_recent = max_age is None or now - lease.confirmed_at <= max_age
+    return is_recent and lease.is_valid(now)
+
+
 def can_copy(board: Blackboard, source: str, target: str) -> bool:
     """Return whether a target can continue from the KV cache of another one."""
     version = find_version(board, source)
--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -71,6 +71,8 @@
     propagation: NotRequired[Seconds]
     #: Time after which a disconnected instance stops serving client accounts.
     disconnected_service: NotRequired[Seconds]
+    #: Minimum time between the listing of a target as leaving and its end.
+    target_notice: NotRequired[Seconds]
     #: Time from the signal to leave until the process is killed.
     leaving_grace: NotRequired[Seconds]
     #: How long callers may still use the address of a leaving instance; by default
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -91,6 +91,7 @@
     TargetSaidLeaving,
     TargetVersionsReceived,
     TimePassed,
+    are_versions_confirmed,
     derive_lease_timings,
     find_pause,
     instance_of,
@@ -153,6 +154,9 @@
 #: Shorter extensions of a pause are not logged: they come with each answer to requests
 #: that were sent together.
 _MIN_LOGGED_PAUSE_SECONDS = 0.1
+#: Maximum age of the platform's list at the leader, and of what it sends to others,
+#: seconds.
+_LIST_AGE_SECONDS = 0.8
 _DEFAULT_ADDRESS_TTL_SECONDS = 10.0
 
 Action = (
@@ -263,6 +267,16 @@
         own = [self.name] if "data_folder" in self.settings else []
         return tuple(own + others)
 
+    def are_versions_confirmed(self, now: float) -> bool:
+        """Return whether the software versions of targets are known to be current.
+
+        An instance that is cut off could miss that a target leaves and starts again
+        under its name with another version.
+        """
+        notice = self.settings.get("timings", {}).get("target_notice")
+        max_age = None if notice is None else max(notice - _LIST_AGE_SECONDS, 0.0)
+        return are_versions_confirmed(self.board, now, max_age)
+
     @property
     def held_version(self) -> int:
         """Version of the bundle in use here, which is committed; 0 without one."""
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -131,6 +131,10 @@
             if isinstance(decision, PlacementDenied):
                 self._log("stream_not_moved", source=old.target, detail=decision.reason)
                 return None
+            if not self._instance.are_versions_confirmed(_clock.monotonic()):
+                detail = "the software versions are not confirmed"
+                self._log("stream_not_moved", source=old.target, detail=detail)
+                return None
             if not can_copy(self._instance.board, old.target, decision.target):
                 detail = f"{decision.target} has another software version"
                 self._log("stream_not_moved", source=old.target, detail=detail)
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_version.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_version.py
@@ -106,6 +106,9 @@
         if self._version is None:
             reason = "the software version that began the stream is not known"
             return self._deny(key, attempt, "origin_unknown", reason)
+        if not self._instance.are_versions_confirmed(_clock.monotonic()):
+            reason = "the versions of the targets are not confirmed"
+            return self._deny(key, attempt, "version_unconfirmed", reason)
         if not has_version(self._instance.board, self._spec.service, self._version):
             reason = f"no target of version {self._version!r} is live"
             return self._deny(key, attempt, "version_unavailable", reason)
@@ -113,6 +116,13 @@
 
     def find_mismatch(self, chosen: TargetChosen) -> PlacementDenied | None:
         """Return why a chosen target can't continue the stream, if it can't."""
+        if not self._is_bound:
+            return None
+        if not self._instance.are_versions_confirmed(_clock.monotonic()):
+            reason = "the versions of the targets are not confirmed"
+            return self._deny(
+                chosen.generation_id, chosen.attempt, "version_unconfirmed", reason
+            )
         if self.accepts(chosen.target):
             return None
         reason = f"target {chosen.target} does not have version {self._version!r}"
