Use a connection to a plain service for one call only

Cause: the session for plain services, engines of the product's own interface and the list kept connections open, and what arrives on an idle one is read as the answer to the next request. Forwarded requests were not affected: their session closes each connection.

Change: that session closes its connections as well.

--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 from returns.result import Failure, Result, Success
 
 from heathertack.blackboard import Blackboard
@@ -35,7 +34,7 @@
 from heathertackd._instance import Instance
 from heathertackd._logs import Logger
 from heathertackd._peers import PeerNetworkError
-from heathertackd._sockets import open_target_socket
+from heathertackd._sockets import open_session
 from heathertackd._supervision import BackgroundWork, Supervisor
 
 _DRAIN_POLL_SECONDS = 0.1
@@ -217,10 +216,7 @@
         instance = Instance(
             self._settings, control_log, board, self._logger, self._tuning
         )
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_target_socket)
-        async with aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-        ) as session:
+        async with open_session() as session:
             frontend = self._build_frontend(instance, session)
             supervisor = Supervisor(instance.failures, self._logger, self._lose_work)
             self._log_unhandled_errors(instance)
--- a/packages/heathertackd/src/heathertackd/_sockets.py
+++ b/packages/heathertackd/src/heathertackd/_sockets.py
@@ -5,6 +5,8 @@
 import socket
 from typing import Any
 
+import aiohttp
+
 #: A connection is closed if sent bytes stay unacknowledged for this time.
 _USER_TIMEOUT_MS = 3000
 #: Idle connections are probed each second and closed after three lost probes.
@@ -28,3 +30,17 @@
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MAX_LOST_PROBES)
     timeout = _USER_TIMEOUT_MS
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session for the platform's list and for targets.
+
+    Each request has a connection of its own: a second copy of an answer that comes late
+    can't be taken for the answer to the next request.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=open_target_socket
+    )
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
--- a/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
@@ -3,9 +3,14 @@
 import aiohttp
 import pytest
 
-from heathertack.controllers import ResponseLost, TargetUnreachable
+from heathertack.controllers import (
+    ResponseLost,
+    TargetResponded,
+    TargetUnreachable,
+)
 from heathertack.messages import TargetRecord, TargetState
 from heathertackd._call_session import CallSpec, PlainClient
+from heathertackd._sockets import open_session
 
 HOST = "127.0.0.1"
 
@@ -48,3 +53,36 @@
                 build_target(1), build_call("POST")
             )
         assert isinstance(result, TargetUnreachable)
+
+
+class TestOwnAnswers:
+    # Guards against a second copy of an answer that comes late, while its connection
+    # carries the next call, which then gets an answer that is not its own.
+    async def test_late_second_answer_reaches_no_other_call(self) -> None:
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    path = head.split(b" ")[1]
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    writer.write(answer % (len(path), path))
+                    await asyncio.sleep(0.05)
+                    writer.write(answer % (len(path), path))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        server = await asyncio.start_server(run, HOST, 0)
+        target = build_target(server.sockets[0].getsockname()[1])
+        async with open_session() as session:
+            client = PlainClient(session)
+            answers = []
+            for number in range(4):
+                call = build_call("POST")._replace(path=f"/seats/{number}")
+                result = await client.send(target, call)
+                assert isinstance(result, TargetResponded)
+                answers.append(result.outcome.body)
+                await asyncio.sleep(0.1)
+        server.close()
+        assert answers == [f"/seats/{number}".encode() for number in range(4)]
