Read the whole answer of a plain service

What callers could see: an answer that arrives in several pieces was delivered, and recorded under its idempotency key, as complete after the first piece. Cause: StreamReader.read(n) returns what has arrived, up to n bytes.

Result: test_answer_in_pieces_is_read_whole and test_endless_answer_is_lost fail before and pass.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -39,6 +39,7 @@
 from heathertackd import _clock
 from heathertackd._instance import Instance
 from heathertackd._refusals import not_run, refusal_response
+from heathertackd._response_bodies import ResponseTooLargeError, read_limited
 from heathertackd._transmissions import prevent_resending
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
@@ -103,15 +104,18 @@
                 allow_redirects=False,
                 middlewares=(prevent_resending,),
             ) as response:
-                body = await response.content.read(_MAX_RESPONSE_BYTES + 1)
-                if len(body) > _MAX_RESPONSE_BYTES:
-                    return ResponseLost("the answer of the target is too long")
+                body = await read_limited(response, _MAX_RESPONSE_BYTES)
                 content_type = response.headers.get("Content-Type", "")
                 outcome = CallOutcome(response.status, content_type, body)
                 return TargetResponded(outcome)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return TargetUnreachable(has_alternative=False)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ResponseTooLargeError,
+        ) as error:
             detail = f"the answer of {target.name} is lost: {error!r}"
             return ResponseLost(detail)
 
--- a/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
@@ -86,3 +86,43 @@
                 await asyncio.sleep(0.1)
         server.close()
         assert answers == [f"/seats/{number}".encode() for number in range(4)]
+
+    # Guards against an answer that comes in pieces and is delivered as whole after the
+    # first one.
+    async def test_answer_in_pieces_is_read_whole(self) -> None:
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst")
+            await asyncio.sleep(0.1)
+            writer.write(b" half")
+            writer.close()
+
+        server = await asyncio.start_server(run, HOST, 0)
+        target = build_target(server.sockets[0].getsockname()[1])
+        async with open_session() as session:
+            result = await PlainClient(session).send(target, build_call("POST"))
+        server.close()
+        assert isinstance(result, TargetResponded)
+        assert result.outcome.body == b"first half"
+
+    async def test_endless_answer_is_lost(self) -> None:
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"x" * 65536)
+                    await writer.drain()
+            except ConnectionError:
+                writer.close()
+
+        server = await asyncio.start_server(run, HOST, 0)
+        target = build_target(server.sockets[0].getsockname()[1])
+        async with open_session() as session:
+            result = await PlainClient(session).send(target, build_call("POST"))
+        server.close()
+        assert isinstance(result, ResponseLost)
