Confirm a claim again that a paused process was granted

What could happen: an instance gets the answer to its claim of a call that must run once, and stands still before it reads it. Others take it for lost after 2 s, the outcome of the call becomes unknown, and an operator may settle it as not run. When the process wakes it sends the call (a permission that has run out, a report of other operators).

Cause: a claim had no end for its owner. Change: a call is sent only while the leader can't have given up the instance (contact confirmed within the member timeout less 0.2 s); else the claim is repeated under its id, which the log grants only if the call is still running.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -9,8 +9,9 @@
 
 import aiohttp
 from aiohttp import web
-from returns.result import Failure, Success
+from returns.result import Failure
 
+from heathertack.blackboard import LEASE
 from heathertack.controllers import (
     CallController,
     CallEvent,
@@ -34,6 +35,7 @@
 from heathertack.state import (
     CallOutcome,
     ClaimCall,
+    ClaimGranted,
     RecordOutcome,
 )
 from heathertackd import _clock
@@ -44,6 +46,10 @@
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
 _CLAIM_TIMEOUT_SECONDS = 3.0
+#: Time between the check of a claim and the sending of its call, and the difference of
+#: clocks, seconds.
+_CONTACT_MARGIN_SECONDS = 0.2
+_CONTACT_POLL_SECONDS = 0.05
 _RECORD_TIMEOUT_SECONDS = 3.0
 _BACKGROUND_RECORD_TIMEOUT_SECONDS = 600.0
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -227,14 +233,29 @@
             self._instance.name,
             self._instance.incarnation,
         )
-        match await self._instance.control.commit(command, _CLAIM_TIMEOUT_SECONDS):
-            case Success(result):
+        deadline = _clock.monotonic() + _CLAIM_TIMEOUT_SECONDS
+        while (left := deadline - _clock.monotonic()) > 0.0:
+            outcome = await self._instance.control.commit(command, left)
+            if isinstance(outcome, Failure):
+                break
+            result = outcome.unwrap()
+            if not isinstance(result, ClaimGranted) or self._is_in_contact():
                 return ClaimCompleted(result)
-            case Failure(_):
-                self._track(asyncio.ensure_future(self._release_claim(spec, claim_id)))
-                return ClaimTimedOut()
-            case _:
-                return ClaimTimedOut()
+            # The process may have been paused since the grant, and its calls marked as
+            # unknown: a claim that is repeated is granted only if it still holds.
+            await self._wait_for_contact(deadline)
+        self._track(asyncio.ensure_future(self._release_claim(spec, claim_id)))
+        return ClaimTimedOut()
+
+    def _is_in_contact(self) -> bool:
+        """Return whether the leader can't have given up this instance."""
+        timeout = self._instance.lease_timings.member_timeout - _CONTACT_MARGIN_SECONDS
+        confirmed_at = self._instance.board.read(LEASE).confirmed_at
+        return _clock.monotonic() - confirmed_at < timeout
+
+    async def _wait_for_contact(self, deadline: float) -> None:
+        while not self._is_in_contact() and _clock.monotonic() < deadline:
+            await asyncio.sleep(_CONTACT_POLL_SECONDS)
 
     async def _release_claim(self, spec: CallSpec, claim_id: str) -> None:
         """Release the key of an abandoned claim, which may still be committed."""
