--- a/packages/heathertack/src/heathertack/controllers/tests/test_leaving_targets.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_leaving_targets.py
@@ -31,6 +31,7 @@
     TargetLeavingReported,
     TargetReported,
     TargetSaidLeaving,
+    TargetVersionsReceived,
     find_usable_targets,
     has_version,
     list_leaving_targets,
@@ -47,6 +48,8 @@
     TableVersion,
     TargetRecord,
     TargetState,
+    TargetVersion,
+    TargetVersions,
 )
 from heathertack.policy import ADMISSION_TUNING
 
@@ -98,6 +101,9 @@
             targets=targets,
             suspects=None,
         )
+        versions = tuple(TargetVersion(target.name, "") for target in targets)
+        published = TargetVersionsReceived(TargetVersions(term, versions))
+        self.holder.handle(published, now)
         self.holder.handle(LeaseGrantReceived(granted), now)
         self.handle(LeavingTargetsDue(), now)
 
--- a/packages/heathertack/src/heathertack/controllers/tests/test_target_pauses.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_target_pauses.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from heathertack.blackboard import MEMBERS, TARGET_PAUSES, TARGETS, Blackboard, Section
+from heathertack.blackboard import (
+    MEMBERS,
+    TARGET_PAUSES,
+    TARGET_VERSIONS,
+    TARGETS,
+    Blackboard,
+    Section,
+)
 from heathertack.controllers import (
     AdmissionController,
     AdmissionDue,
@@ -46,7 +53,7 @@
     """The controllers of one instance, which owns the only group of targets."""
 
     READS: ClassVar[tuple[Section[Any], ...]] = ()
-    WRITES: ClassVar[tuple[Section[Any], ...]] = (MEMBERS, TARGETS)
+    WRITES: ClassVar[tuple[Section[Any], ...]] = (MEMBERS, TARGETS, TARGET_VERSIONS)
 
     def __init__(self, targets: int = 2, slots: int = 8, capacity: int = 0) -> None:
         self.board = Blackboard()
@@ -58,6 +65,7 @@
             for n in range(targets)
         }
         self.board.write(self, TARGETS, records)
+        self.board.write(self, TARGET_VERSIONS, dict.fromkeys(records, ""))
         member = MemberRecord(ENTRY, 1, MemberState.ALIVE, "x", "d", 1, 0)
         self.board.write(self, MEMBERS, {ENTRY: member})
         self.pauses = TargetPauseController(self.board)
