Run the tests on several workers, those with real daemons on one of them

The suite took 14 min on one core of six. pytest-xdist spreads the tests; those that start daemons stay one after the other in one group, since they wait for processes. The run fails if a collected test was not run, and prints both counts.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
+# Processes that run tests; those with real daemons run in one of them.
+WORKERS ?= 4
 BIN := $(VENV)/bin
 PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
 SOURCES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml constraints.txt
@@ -10,14 +12,14 @@
 	$(PYTHON) -m venv $(VENV)
 	PIP_CONSTRAINT=$(CURDIR)/constraints.txt $(BIN)/pip install --quiet --disable-pip-version-check \
 		$(foreach package,$(PACKAGES),-e packages/$(package)) -e platform \
-		hypothesis mypy pytest pytest-asyncio ruff types-docopt
+		hypothesis mypy pytest pytest-asyncio pytest-xdist ruff types-docopt
 	touch $@
 
 test: $(VENV)/.installed
 	$(BIN)/ruff format --check packages platform
 	$(BIN)/ruff check packages platform
 	$(BIN)/mypy packages/*/src platform/src
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup --durations=15
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.demo --bin $(BIN)
--- a/conftest.py
+++ b/conftest.py
@@ -10,6 +10,10 @@
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 
+#: Names that a module imports, and fixtures, with which its tests start real daemons.
+_DAEMON_STARTERS = frozenset(
+    {"LocalSystem", "run_platform", "run_seed", "start_system"}
+)
 _KNOWN_RED = Path(__file__).with_name("KNOWN-RED.txt")
 _TEST_PREFIX = "test: "
 
@@ -54,6 +58,54 @@
     deselected = [item for item in items if (item.nodeid in known) != runs_known_red]
     config.hook.pytest_deselected(items=deselected)
     items[:] = [item for item in items if (item.nodeid in known) == runs_known_red]
+    for item in items:
+        if _starts_daemons(item):
+            # One after the other: they wait for processes, and bound their waits.
+            item.add_marker(pytest.mark.xdist_group("daemons"))
+
+
+def _starts_daemons(item: pytest.Item) -> bool:
+    names = {*getattr(item, "fixturenames", ()), *vars(getattr(item, "module", item))}
+    return not _DAEMON_STARTERS.isdisjoint(names)
+
+
+class _TestCount:
+    """Fails a run on several workers in which not every collected test was run."""
+
+    def __init__(self) -> None:
+        self._collected: set[str] = set()
+        self._run: set[str] = set()
+
+    def pytest_xdist_node_collection_finished(self, ids: list[str]) -> None:
+        """Record what a worker collected."""
+        self._collected.update(ids)
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Record that a test was run."""
+        self._run.add(report.nodeid)
+
+    @pytest.hookimpl(trylast=True)
+    def pytest_sessionfinish(self, session: pytest.Session) -> None:
+        """Compare the tests that were collected and run."""
+        missing = self._collected - self._run
+        if missing and session.exitstatus == pytest.ExitCode.OK:
+            session.exitstatus = pytest.ExitCode.TESTS_FAILED
+
+    def pytest_terminal_summary(
+        self, terminalreporter: pytest.TerminalReporter
+    ) -> None:
+        """Print how many tests were collected and run."""
+        missing = sorted(self._collected - self._run)
+        line = f"{len(self._collected)} tests collected, {len(self._run)} run"
+        terminalreporter.write_line(line)
+        for test in missing:
+            terminalreporter.write_line(f"collected, not run: {test}")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Count the tests where several workers run them."""
+    if config.getoption("numprocesses", None):
+        config.pluginmanager.register(_TestCount())
 
 
 def pytest_terminal_summary(
--- a/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_local_system.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from functools import cache
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -28,6 +29,8 @@
 _POLL_INTERVAL_SECONDS = 0.05
 #: Below the first port of outgoing connections, 32768 by default.
 _LISTENING_PORTS = range(12000, 32000)
+#: Number of ports that one process of tests has for itself.
+_BLOCK_SIZE = 500
 
 
 class SystemShape(NamedTuple):
@@ -53,19 +56,43 @@
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are currently unused.
 
-    They are drawn at random below the ports that the system gives to outgoing
-    connections. One of those could be taken between this call and the start of a
-    process, or while a process is restarted.
+    They are drawn at random from a block that no other process draws from, below the
+    ports that the system gives to outgoing connections: another port could be taken
+    between this call and the start of a process, or while a process is restarted.
     """
+    block = _claim_block().ports
     found: list[int] = []
     source = secrets.SystemRandom()
     while len(found) < count:
-        port = source.choice(_LISTENING_PORTS)
+        port = source.choice(block)
         if port not in found and _is_free(port):
             found.append(port)
     return found
 
 
+class _PortBlock(NamedTuple):
+    """Ports of this process; its guard keeps them until the process ends."""
+
+    ports: range
+    guard: socket.socket
+
+
+@cache
+def _claim_block() -> _PortBlock:
+    starts = list(_LISTENING_PORTS[::_BLOCK_SIZE])
+    secrets.SystemRandom().shuffle(starts)
+    for start in starts:
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, start))
+            guard.listen(0)
+        except OSError:
+            guard.close()
+            continue
+        return _PortBlock(range(start + 1, start + _BLOCK_SIZE), guard)
+    raise StartFailedError(f"all {len(starts)} blocks of ports are in use")
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
