--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/2/run.py
