--- a/review/2/run.py
+++ b/review/2/run.py
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-import lab  # noqa: E402
+import lab
 
 MACHINES = 7
 #: Machines that freeze in turn: one of them may itself assign the servers.
@@ -58,9 +58,7 @@
     try:
         async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
             reader, writer = await system.connect(machine)
-            writer.write(
-                lab.build_request("POST", "/order/1", request_id, deadline_ms)
-            )
+            writer.write(lab.build_request("POST", "/order/1", request_id, deadline_ms))
             message = await lab.read_message(reader)
             writer.close()
         if message is not None:
@@ -128,15 +126,13 @@
     system.signal(machine, signal.SIGCONT)
 
 
-async def disturb(
-    system: lab.Lab, turn: int, machine: int, still: set[int]
-) -> None:
+async def disturb(system: lab.Lab, turn: int, machine: int, still: set[int]) -> None:
     """Freeze the machine, let a server join, and freeze the leader."""
     still.add(machine)
     frozen = asyncio.create_task(freeze(system, machine, FREEZE_SECONDS))
     await asyncio.sleep(JOIN_SECONDS)
     zone = lab.ZONES[turn % 3]
-    new = lab.Engine(system, f"i-n{turn}", "ledger", zone, 6, WORK_SECONDS)
+    new = lab.Engine(system, f"i-n{turn}", "ledger", zone, slots=6, work=WORK_SECONDS)
     await system.add_engine(new)
     system.record.write(f"{new.name} joins")
     await asyncio.sleep(FREEZE_SECONDS - JOIN_SECONDS - 0.3)
@@ -169,10 +165,12 @@
         await system.start()
         for number, zone in enumerate(lab.ZONES):
             await system.add_engine(
-                lab.Engine(system, f"i-l{number}", "ledger", zone, 6, WORK_SECONDS)
+                lab.Engine(
+                    system, f"i-l{number}", "ledger", zone, slots=6, work=WORK_SECONDS
+                )
             )
             await system.add_engine(
-                lab.Engine(system, f"i-m{number}", "models", zone, 64, 0.1)
+                lab.Engine(system, f"i-m{number}", "models", zone, slots=64, work=0.1)
             )
         order = {"timeout_ms": TIMEOUT_MS, "public": True}
         document = lab.build_configuration(1, order=order)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-import lab  # noqa: E402
+import lab
 
 MACHINE = 4
 CLIENTS = 16
@@ -95,10 +95,10 @@
         await system.start()
         for number, zone in enumerate(lab.ZONES):
             await system.add_engine(
-                Ledger(system, f"i-l{number}", "ledger", zone, 12, 0.0)
+                Ledger(system, f"i-l{number}", "ledger", zone, slots=12, work=0.0)
             )
             await system.add_engine(
-                lab.Engine(system, f"i-m{number}", "models", zone, 64, 0.1)
+                lab.Engine(system, f"i-m{number}", "models", zone, slots=64, work=0.1)
             )
         if not await system.apply(lab.build_configuration(1)):
             return 2
@@ -107,9 +107,7 @@
         await asyncio.sleep(1.0)
         start = system.record.now()
         clients = [
-            asyncio.create_task(
-                send_orders(system, number, start + TRAFFIC_SECONDS)
-            )
+            asyncio.create_task(send_orders(system, number, start + TRAFFIC_SECONDS))
             for number in range(CLIENTS)
         ]
         await asyncio.sleep(TERM_AT_SECONDS)
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-import lab  # noqa: E402
+import lab
 
 MACHINES = 5
 CLIENTS = 40
@@ -129,7 +129,9 @@
     return result
 
 
-async def use_stream(system: lab.Lab, name: str, source: random.Random) -> list[Attempt]:
+async def use_stream(
+    system: lab.Lab, name: str, source: random.Random
+) -> list[Attempt]:
     """Request a stream and take it up until it is complete or the time is over."""
     attempts: list[Attempt] = []
     begun: Attempt | None = None
@@ -181,10 +183,10 @@
         await system.start()
         for number, zone in enumerate(lab.ZONES):
             await system.add_engine(
-                Model(system, f"i-m{number}", "models", zone, 64, 0.0)
+                Model(system, f"i-m{number}", "models", zone, slots=64, work=0.0)
             )
             await system.add_engine(
-                lab.Engine(system, f"i-l{number}", "ledger", zone, 6, 0.06)
+                lab.Engine(system, f"i-l{number}", "ledger", zone, slots=6, work=0.06)
             )
         document = lab.build_configuration(1)
         if not await system.apply(document) or not await system.wait_until_ready():
--- a/review/lab.py
+++ b/review/lab.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,9 @@
 HOST = "a.example"
 KEY = "key-1"
 GRACE_SECONDS = 8.0
+#: A script may run for 120 seconds; the rest is for the end of its processes.
+MAX_SECONDS = 115.0
+COULD_NOT_RUN = 2
 
 
 def is_troubled() -> bool:
@@ -68,7 +72,7 @@
     """
 
     def __init__(
-        self, lab: Lab, name: str, service: str, zone: str, slots: int, work: float
+        self, lab: Lab, name: str, service: str, zone: str, *, slots: int, work: float
     ) -> None:
         self.lab = lab
         self.name = name
@@ -298,7 +302,9 @@
         boot = self.folder / f"boot-{machine}.toml"
         boot.write_text(self._settings(machine, is_first))
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["HEATHERTACK_BOOT"] = str(boot)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -547,4 +553,15 @@
 def main(case: Callable[[Path], Any]) -> None:
     """Run a case and exit with its result: 0 held, 1 broken, 2 could not run."""
     folder = Path(sys.argv[0]).resolve().parent
-    sys.exit(asyncio.run(case(folder)))
+    sys.exit(asyncio.run(_run_in_time(case, folder)))
+
+
+async def _run_in_time(case: Callable[[Path], Any], folder: Path) -> int:
+    """Run a case within the time that a script may take."""
+    try:
+        async with asyncio.timeout(MAX_SECONDS):
+            result: int = await case(folder)
+            return result
+    except Exception:
+        traceback.print_exc()
+        return COULD_NOT_RUN
