--- a/review/2/run.py
+++ b/review/2/run.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -16,6 +17,10 @@
 
 import lab
 
+#: With ``TROUBLE=0`` the script does the same without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+RECORD_FILE = "record.txt"
+
 MACHINES = 7
 #: Machines that freeze in turn: one of them may itself assign the servers.
 FROZEN = (4, 5, 6, 7)
@@ -148,7 +153,7 @@
     """Disturb the system and send orders around the time of the wake-up."""
     machine = FROZEN[turn % len(FROZEN)]
     tasks: list[asyncio.Task[None]] = []
-    if lab.is_troubled():
+    if IS_TROUBLED:
         tasks.append(asyncio.create_task(disturb(system, turn, machine, still)))
     await asyncio.sleep(FREEZE_SECONDS - 0.4)
     answers = await send_orders(system, turn, machine)
@@ -159,7 +164,7 @@
 
 async def run(folder: Path) -> int:
     """Run the case and return the exit code."""
-    system = lab.Lab(folder, MACHINES)
+    system = lab.Lab(folder / RECORD_FILE, MACHINES)
     answers: list[Answer] = []
     try:
         await system.start()
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
+# Writes record.txt beside this file; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps exec python3 review/2/run.py
+TROUBLE="${TROUBLE:-1}" PYTHONPATH=target/deps exec python3 review/2/run.py
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -13,6 +14,10 @@
 
 import lab
 
+#: With ``TROUBLE=0`` the script does the same without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+RECORD_FILE = "record.txt"
+
 MACHINE = 4
 CLIENTS = 32
 #: The sheets give 90 ms of work; the site files a mean of 60 ms with a spread of 0.5
@@ -90,7 +95,7 @@
 
 async def run(folder: Path) -> int:
     """Run the case and return the exit code."""
-    system = lab.Lab(folder, 5)
+    system = lab.Lab(folder / RECORD_FILE, 5)
     try:
         await system.start()
         for number, zone in enumerate(lab.ZONES):
@@ -112,7 +117,7 @@
         ]
         await asyncio.sleep(TERM_AT_SECONDS)
         term_at = system.record.now()
-        if lab.is_troubled():
+        if IS_TROUBLED:
             system.signal(MACHINE, signal.SIGTERM)
         sent = [item for part in await asyncio.gather(*clients) for item in part]
         return judge(system, sent, term_at)
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -13,6 +14,10 @@
 
 import lab
 
+#: With ``TROUBLE=0`` the script does the same without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+RECORD_FILE = "record.txt"
+
 MACHINES = 5
 CLIENTS = 40
 ROUNDS = 3
@@ -158,7 +163,7 @@
         for number in range(CLIENTS)
     ]
     await asyncio.sleep(6 * EVENT_SECONDS)
-    if lab.is_troubled():
+    if IS_TROUBLED:
         for machine in system.machines:
             system.signal(machine, signal.SIGKILL)
         await asyncio.sleep(DOWN_SECONDS)
@@ -178,7 +183,7 @@
 
 async def run(folder: Path) -> int:
     """Run the case and return the exit code."""
-    system = lab.Lab(folder, MACHINES)
+    system = lab.Lab(folder / RECORD_FILE, MACHINES)
     try:
         await system.start()
         for number, zone in enumerate(lab.ZONES):
@@ -218,7 +223,7 @@
     if not new or begun < new // 2:
         return 2
     if taken_up < MIN_TAKEN_UP:
-        return 2 if lab.is_troubled() else 0
+        return 2 if IS_TROUBLED else 0
     return 1 if gone_on / taken_up < 0.5 * begun / new else 0
 
 
--- a/review/lab.py
+++ b/review/lab.py
@@ -31,16 +31,11 @@
 COULD_NOT_RUN = 2
 
 
-def is_troubled() -> bool:
-    """Return whether the script is to cause the disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
-    """Writes ``record.txt`` in the folder of a case."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, file: Path) -> None:
+        self._file = file.open("w")
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -230,14 +225,14 @@
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case.
+    record_file : Path
+        File for what was sent, answered and run.
     machines : int
         Number of machines; the first three have a disk.
     """
 
-    def __init__(self, folder: Path, machines: int) -> None:
-        self.record = Record(folder)
+    def __init__(self, record_file: Path, machines: int) -> None:
+        self.record = Record(record_file)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.machines = tuple(range(1, machines + 1))
         self.engines: dict[str, Engine] = {}
