Let a second SIGTERM change nothing, so that it cuts no stream

Callers saw: streams that ran when SIGTERM came ended without their last event as soon as it came again (LOST). Cause: the daemon took the second for an order to stop at once; the platform knows SIGTERM and, after the grace period, SIGKILL. Change: further SIGTERMs are logged (already_leaving); a second SIGINT stops.

--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -273,8 +273,8 @@
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._handle_signal)
+        loop.add_signal_handler(signal.SIGTERM, self._leave)
+        loop.add_signal_handler(signal.SIGINT, self._handle_interrupt)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
 
     async def _watch_settings(self, instance: Instance) -> None:
@@ -297,8 +297,14 @@
                 instance.update_settings(settings)
                 self._logger.info("settings_reloaded")
 
-    def _handle_signal(self) -> None:
-        """Start to drain at the first signal; stop at once at the second."""
+    def _leave(self) -> None:
+        """Start to drain; further calls do nothing, so that no open request is cut."""
+        if self._leaving.is_set():
+            self._logger.info("already_leaving")
+        self._leaving.set()
+
+    def _handle_interrupt(self) -> None:
+        """Start to drain at the first interrupt; stop at once at the second."""
         if self._leaving.is_set():
             self._stop_now.set()
         self._leaving.set()
@@ -323,7 +329,7 @@
         await self._end_requests(instance, frontend)
 
     async def _end_requests(self, instance: Instance, frontend: Frontend) -> None:
-        """Answer the requests that are still open, as after a second signal."""
+        """Answer the requests that are still open, as after a second interrupt."""
         frontend.stop_accepting()
         now = _clock.monotonic()
         instance.drain.handle(StopStarted(), now)
--- a/packages/heathertackd/src/heathertackd/command.py
+++ b/packages/heathertackd/src/heathertackd/command.py
@@ -25,8 +25,8 @@
   heathertackd (-h | --help)
 
 Commands:
-  run    Serve until SIGTERM, then finish what is in progress. A second SIGTERM
-         stops at once.
+  run    Serve until SIGTERM or SIGINT, then finish what is in progress. Further
+         SIGTERMs change nothing; a second SIGINT stops at once.
   form   Prepare the empty data folder as the first replica of a new cluster.
   check  Check the settings and do nothing else.
 
