Keep the time for last answers within the last sixth of a short grace period

Open requests were answered 0.7 s before the process would be killed, whatever its grace period: with one under 4.2 s they were cut before its last sixth, which the rule on planned stops (LOST) does not excuse. Each of the two margins now takes a sixteenth of the grace period at most; both are in the controller of the drain.

--- a/packages/heathertack/src/heathertack/controllers/_drain.py
+++ b/packages/heathertack/src/heathertack/controllers/_drain.py
@@ -7,9 +7,13 @@
 
 from heathertack.blackboard import DRAIN, Blackboard, DrainView, Section
 
-#: Time before the end of the grace period at which every request that is still open is
-#: answered, so that its answer leaves before the process does, seconds.
+#: Time before the process stops at which every request that is still open is answered,
+#: so that its answer leaves before the process does, seconds.
 _ANSWER_SECONDS = 0.3
+#: Time before the process would be killed at which it stops, seconds.
+_STOP_SECONDS = 0.4
+#: Maximum share of the grace period that each of the two takes.
+_MAX_RESERVED_SHARE = 1 / 16
 
 
 class RequestOpened(NamedTuple):
@@ -54,7 +58,7 @@
     ) -> None:
         self._board = board
         self._accept_seconds = accept_seconds
-        self._grace = math.inf if grace is None else grace
+        self._stop_after, self._answer_after = _divide_grace(grace)
         self._leaving_since: float | None = None
         self._is_stopping = False
         board.register(self)
@@ -88,7 +92,7 @@
         """Time by which every open request must be answered, infinite if unlimited."""
         if self._leaving_since is None:
             return math.inf
-        return self._leaving_since + self._grace - _ANSWER_SECONDS
+        return self._leaving_since + self._answer_after
 
     def can_answer(self, deadline: float) -> bool:
         """Return whether a request with a deadline can be served to its end."""
@@ -96,13 +100,25 @@
 
     def accepts_requests(self, now: float) -> bool:
         """Return whether the instance still accepts connections."""
-        duration = min(self._accept_seconds, self._grace)
+        duration = min(self._accept_seconds, self._stop_after)
         return self._leaving_since is None or now < self._leaving_since + duration
 
     def may_stop(self, now: float) -> bool:
-        """Return whether stopping loses no request, or the grace period is over."""
+        """Return whether stopping loses no request, or no time is left for them."""
         if self._leaving_since is None or self.accepts_requests(now):
             return False
         if not self._board.read(DRAIN).open_requests:
             return True
-        return now >= self._leaving_since + self._grace
+        return now >= self._leaving_since + self._stop_after
+
+
+def _divide_grace(grace: float | None) -> tuple[float, float]:
+    """Return when the process stops and when it answers what is open, seconds.
+
+    Both are counted from the moment at which it starts to leave.
+    """
+    if grace is None:
+        return math.inf, math.inf
+    reserved = grace * _MAX_RESERVED_SHARE
+    stop_after = grace - min(_STOP_SECONDS, reserved)
+    return stop_after, stop_after - min(_ANSWER_SECONDS, reserved)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_drain.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_drain.py
@@ -112,6 +112,18 @@
         drain.handle(LeavingStarted(), 0.0)
         assert drain.can_answer(received_at + timeout) is answers
 
+    # Guards against streams that are cut earlier than the end of a short grace period
+    # requires (LOST).
+    @pytest.mark.parametrize("grace", [0.5, 1.0, 2.0, 3.0, 4.0, 8.0, 30.0, 300.0])
+    def test_open_requests_have_five_sixths_of_the_grace_period(
+        self, grace: float
+    ) -> None:
+        drain = build_drain(grace)
+        drain.handle(RequestOpened(), 0.0)
+        drain.handle(LeavingStarted(), 0.0)
+        assert 5 / 6 * grace < drain.answer_deadline < grace
+        assert not drain.may_stop(drain.answer_deadline)
+
     def test_no_request_is_served_once_the_process_is_about_to_end(self) -> None:
         drain = build_drain(GRACE_SECONDS)
         drain.handle(LeavingStarted(), 0.0)
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -146,8 +146,6 @@
 )
 
 _CONTROL_TICK_SECONDS = 0.05
-#: Time reserved before the process would be killed, to end its responses cleanly.
-_STOP_MARGIN_SECONDS = 0.4
 _ENTRY_TICK_SECONDS = 0.1
 #: Minimum size of a submitted command that is logged.
 _LARGE_COMMAND_BYTES = 64 * 1024
@@ -476,10 +474,7 @@
         timings = self.settings.get("timings", {})
         default_accepts = self.address_ttl + self.lease_timings.duration
         accepts = timings.get("leaving_accepts", default_accepts)
-        grace = timings.get("leaving_grace")
-        if grace is not None:
-            grace -= _STOP_MARGIN_SECONDS
-        return DrainController(self.board, accepts, grace)
+        return DrainController(self.board, accepts, timings.get("leaving_grace"))
 
     def _build_identity(self) -> InstanceIdentity:
         http = self.settings["http"]
