Close the connections of a leaving instance's own interface too, and let it end

Their answers now close the connection; a request that comes after timings.leaving_accepts is refused as not run, on forwarded routes of that listener, too.

--- a/packages/heathertackd/src/heathertackd/_caller_api.py
+++ b/packages/heathertackd/src/heathertackd/_caller_api.py
@@ -33,6 +33,7 @@
 from heathertackd._refusals import (
     RefusedError,
     body_too_large,
+    check_accepts_requests,
     check_request_text,
     not_run,
     refusal_response,
@@ -98,24 +99,37 @@
         app.router.add_get("/readyz", self._serve_readiness)
 
     def _wrap(self, handler: Handler) -> Handler:
-        """Return a handler that counts open requests and responds to refusals."""
+        """Return a handler that counts open requests and responds to refusals.
+
+        While the instance leaves, it closes the connection after the response.
+        """
 
         async def wrapped(request: web.Request) -> web.StreamResponse:
             drain = self._instance.drain
             drain.handle(RequestOpened(), _clock.monotonic())
             try:
-                check_request_text(request)
-                return await handler(request)
-            except RefusedError as error:
-                account = self._instance.metrics.account_label("unknown")
-                code = error.refusal.code
-                self._instance.metrics.refusals.labels(account, code).inc()
-                return refusal_response(error.refusal)
+                response = await self._respond(request, handler)
             finally:
                 drain.handle(RequestClosed(), _clock.monotonic())
+            if drain.is_leaving:
+                response.force_close()
+            return response
 
         return wrapped
 
+    async def _respond(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            check_request_text(request)
+            check_accepts_requests(self._instance.drain)
+            return await handler(request)
+        except RefusedError as error:
+            account = self._instance.metrics.account_label("unknown")
+            code = error.refusal.code
+            self._instance.metrics.refusals.labels(account, code).inc()
+            return refusal_response(error.refusal)
+
     async def _serve_addresses(self, request: web.Request) -> web.Response:
         service = request.query.get("service", "")
         bundle = self._instance.board.read(BUNDLE).bundle
--- a/packages/heathertackd/src/heathertackd/_caller_stream.py
+++ b/packages/heathertackd/src/heathertackd/_caller_stream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -26,14 +27,21 @@
         Identifier of the generation.
     write_timeout : float
         Timeout of one write, seconds.
+    must_close : callable
+        Returns whether the connection is closed after the response.
     """
 
     def __init__(
-        self, request: web.Request, request_id: str, write_timeout: float
+        self,
+        request: web.Request,
+        request_id: str,
+        write_timeout: float,
+        must_close: Callable[[], bool],
     ) -> None:
         self._request = request
         self._request_id = request_id
         self._write_timeout = write_timeout
+        self._must_close = must_close
         self._response: web.StreamResponse | None = None
         self._buffer = bytearray()
 
@@ -89,6 +97,8 @@
                     "X-Request-Id": self._request_id,
                 }
             )
+            if self._must_close():
+                self._response.force_close()
             self._limit_send_buffer()
             await self._response.prepare(self._request)
         return self._response
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -115,7 +115,12 @@
         self._timer_deadline = 0.0
         self._links: dict[int, asyncio.Task[None]] = {}
         self._background_tasks: set[asyncio.Task[Any]] = set()
-        self._stream = CallerStream(http_request, self._id, spec.write_timeout)
+        self._stream = CallerStream(
+            http_request,
+            self._id,
+            spec.write_timeout,
+            lambda: instance.drain.is_leaving,
+        )
         self._full_response: web.Response | None = None
         self._buffered_text: list[str] = []
         self._first_token_at: float | None = None
--- a/packages/heathertackd/src/heathertackd/_refusals.py
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -9,8 +9,12 @@
 from aiohttp import web
 from returns.result import Failure
 
-from heathertack.controllers import Execution, Refusal
+from heathertack.controllers import DrainController, Execution, Refusal
 from heathertack.decoding import check_texts
+from heathertackd import _clock
+
+#: Retry delay sent by an instance that leaves, seconds: other instances serve.
+_LEAVING_RETRY_SECONDS = 0.0
 
 
 class RefusedError(Exception):
@@ -70,6 +74,25 @@
     return Refusal(code, message, Execution.NOT_RUN, retry_after)
 
 
+def leaving(message: str) -> Refusal:
+    """Return the refusal of a request that an instance that leaves can't serve."""
+    return not_run("leaving", message, _LEAVING_RETRY_SECONDS)
+
+
+def check_accepts_requests(drain: DrainController) -> None:
+    """Check that the instance still serves new requests.
+
+    Callers that keep sending would otherwise keep a leaving process from ending.
+
+    Raises
+    ------
+    RefusedError
+        If it has left, so that nobody may know its address any more.
+    """
+    if not drain.accepts_requests(_clock.monotonic()):
+        raise RefusedError(leaving("the instance has left"))
+
+
 def check_request_text(request: web.BaseRequest) -> None:
     """Check that the path and the headers of a request can be passed on.
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -19,7 +19,13 @@
 from heathertackd._bounded_connector import BoundedConnector
 from heathertackd._caller_limits import choose_caller_limits
 from heathertackd._instance import Instance
-from heathertackd._refusals import RefusedError, check_request_text, not_run
+from heathertackd._refusals import (
+    RefusedError,
+    check_accepts_requests,
+    check_request_text,
+    leaving,
+    not_run,
+)
 from heathertackd._sockets import open_target_socket
 from heathertackd._transmissions import (
     prevent_resending,
@@ -44,8 +50,6 @@
 #: Retry delay sent to callers while the bundle can't be confirmed, seconds; most
 #: leases are renewed within it.
 _UNCONFIRMED_RETRY_SECONDS = 1.0
-#: Retry delay sent by an instance that leaves, seconds: other instances serve.
-_LEAVING_RETRY_SECONDS = 0.0
 #: Maximum wait of a request for the first bundle of a process: long enough for an
 #: election and a lease.
 _FIRST_BUNDLE_WAIT_SECONDS = 1.0
@@ -152,14 +156,16 @@
         Raises
         ------
         RefusedError
-            If the deadline of the request is after the end of the grace period.
+            If the deadline of the request is after the end of the grace period, or the
+            instance has left.
         """
         drain = self._instance.drain
+        check_accepts_requests(drain)
         if drain.can_answer(spec.deadline):
             return
         left = drain.answer_deadline - _clock.monotonic()
         message = f"the instance leaves in {left:.1f} s, before the request may end"
-        raise RefusedError(not_run("leaving", message, _LEAVING_RETRY_SECONDS))
+        raise RefusedError(leaving(message))
 
     def _refuse(self, request: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
         self._instance.metrics.refusals.labels("", refusal.code).inc()
