Take only events for the rest of a stream, and no empty answer for its end

Callers saw (report of other operators): a stream that broke and went on at a target that answers something else held that answer's text, or ended as complete. Cause: any 2xx answer was taken for the rest of the stream, and its end for the stream's end. Now it needs the status of the stream, events with numbers as ids, and at least one event unless all tokens that the request allows were sent; otherwise the stream broke.

--- a/packages/heathertackd/src/heathertackd/forwarding/_caller_events.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_caller_events.py
@@ -74,6 +74,23 @@
             if not event.event_id.isdigit() or int(event.event_id) > last
         )
 
+    def check_continuation(self, events: Sequence[StreamEvent]) -> None:
+        """Check that a run that goes on sends events of the stream.
+
+        Raises
+        ------
+        ValueError
+            If one has no id, although those before it have one.
+        """
+        if not self._last_event_id.isdigit():
+            return
+        for event in events:
+            if not event.event_id.isdigit():
+                raise ValueError(
+                    f"an event with the id {event.event_id!r} after event "
+                    f"{self._last_event_id}, expected a number"
+                )
+
     async def write(self, head: ResponseHead, events: Sequence[StreamEvent]) -> None:
         """Deliver events; the response headers come from the first target.
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -506,13 +506,17 @@
         self, placement: TargetChosen, response: TargetResponse
     ) -> _Result:
         try:
-            is_success = response.head.status < 300
-            if self._spec.is_stream and is_success:
+            if self._spec.is_stream and self._is_stream_status(response.head.status):
                 return await self._deliver_stream(placement, response)
             return await self._deliver_body(placement, response)
         finally:
             response.close()
 
+    def _is_stream_status(self, status: int) -> bool:
+        """Return whether a response with a status holds events for the caller."""
+        begun = self._stream.response
+        return status < 300 if begun is None else status == begun.status
+
     async def _deliver_body(
         self, placement: TargetChosen, response: TargetResponse
     ) -> _Result:
@@ -548,9 +552,15 @@
     ) -> _Result:
         """Deliver events until the target's stream ends."""
         splitter = EventSplitter()
+        continues = self._stream.response is not None
+        has_events = False
         try:
             async for chunk in response.read_chunks():
-                events = self._stream.select_new(splitter.feed(chunk))
+                received = splitter.feed(chunk)
+                has_events = has_events or bool(received)
+                if continues:
+                    self._stream.check_continuation(received)
+                events = self._stream.select_new(received)
                 if events:
                     await self._deliver_events(placement, response, events)
         except (aiohttp.ClientPayloadError, ValueError) as error:
@@ -568,6 +578,10 @@
             return await self._handle_stream_break(
                 placement, "the stream ended within an event"
             )
+        if not has_events and not self._has_all_tokens():
+            return await self._handle_stream_break(
+                placement, "the run that goes on sent no event"
+            )
         await caller_response.write_eof()
         self._record_success(placement)
         if self._stream.count < _MIN_STARTED_EVENTS:
@@ -577,6 +591,11 @@
         self._finish("streamed", ReservationOutcome.FINISHED, delivered)
         return caller_response
 
+    def _has_all_tokens(self) -> bool:
+        """Return whether the caller has as many tokens as the request allows."""
+        size = self._spec.head.size
+        return size is not None and self._generated_tokens() >= size.max_tokens
+
     def _is_handing_over(self) -> bool:
         return self._mover is not None and self._mover.is_handing_over
 
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -186,10 +186,12 @@
 
     def __init__(self) -> None:
         self.attempts: list[ForwardAttempt] = []
+        #: Maximum number of tokens that a request generates.
+        self.max_tokens = 400
 
     def read_request(self, headers: Headers) -> Result[RequestHead, str]:
-        """Treat every request as a generation of up to 400 tokens, prompt of 100."""
-        size = GenerationSize(100, 400)
+        """Treat every request as a generation with a prompt of 100 tokens."""
+        size = GenerationSize(100, self.max_tokens)
         return super().read_request(headers).map(lambda head: head._replace(size=size))
 
     def encode_request(
