Leave no open files and no temporary files behind when a disk refuses a write

Report of other operators: long after full disks have room again, changes are refused while all processes run. Now the log closes its files before it opens them again, a refused replacement removes its part, and opening a folder removes those of earlier processes. A disk that fails at the start is a StartError.

--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -191,10 +191,11 @@
         return frozenset(self._regressed)
 
     def detach(self) -> None:
-        """Publish that this instance does not lead, and release the section.
+        """Publish that this instance does not lead, and release section and files.
 
         Another controller can then take the place of this one.
         """
+        self._storage.close()
         self._board.write(self, CONTROL, ControlView())
         self._board.release(self)
 
--- a/packages/heathertack/src/heathertack/storage/_disk.py
+++ b/packages/heathertack/src/heathertack/storage/_disk.py
@@ -29,3 +29,7 @@
     def delete(self, name: str) -> None:
         """Remove a file."""
         ...
+
+    def close(self) -> None:
+        """Release what the use of the files holds; they may be used again later."""
+        ...
--- a/packages/heathertack/src/heathertack/storage/_replica.py
+++ b/packages/heathertack/src/heathertack/storage/_replica.py
@@ -67,6 +67,10 @@
             self._disk.sync(self._segment)
             self._pending.clear()
 
+    def close(self) -> None:
+        """Close the files, without a sync of pending changes."""
+        self._disk.close()
+
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Persist a snapshot, start a new segment and delete the older ones."""
         self.sync()
--- a/packages/heathertack/src/heathertack/storage/tests/memory_disk.py
+++ b/packages/heathertack/src/heathertack/storage/tests/memory_disk.py
@@ -29,6 +29,9 @@
         self._files.pop(name, None)
         self._synced.pop(name, None)
 
+    def close(self) -> None:
+        pass
+
     def crash(self) -> None:
         self._steps_left = None
         self._files = dict(self._synced)
--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -103,7 +103,11 @@
     def build(board: Blackboard) -> ControlLogController:
         return build_control_log(settings, board)
 
-    return ControlLogRunner(board, build, logger)
+    try:
+        return ControlLogRunner(board, build, logger)
+    except OSError as error:
+        folder = settings["data_folder"]
+        raise StartError(f"{folder}: {error.strerror}") from error
 
 
 def build_control_log(settings: Settings, board: Blackboard) -> ControlLogController:
@@ -113,8 +117,20 @@
     ------
     StartError
         If the folder can't be used.
+    OSError
+        If the disk fails.
     """
     disk = _open_disk(settings)
+    try:
+        return _build_on_disk(settings, board, disk)
+    except Exception:
+        disk.close()
+        raise
+
+
+def _build_on_disk(
+    settings: Settings, board: Blackboard, disk: Disk
+) -> ControlLogController:
     identity = _unwrap_or_raise(
         load_identity(disk, settings["cluster"], settings["instance"]), settings
     )
--- a/packages/heathertackd/src/heathertackd/_disk.py
+++ b/packages/heathertackd/src/heathertackd/_disk.py
@@ -5,6 +5,15 @@
 import os
 from pathlib import Path
 
+_TEMPORARY_SUFFIX = ".new"
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes to an open file."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
 
 class FolderDisk:
     """Files of one folder; implements the ``Disk`` protocol.
@@ -27,6 +36,7 @@
         probe = folder / ".probe"
         probe.write_bytes(b"")
         probe.unlink()
+        self._remove_temporary_files()
 
     def list_files(self) -> tuple[str, ...]:
         """Return the names of all files, sorted."""
@@ -42,11 +52,7 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file without syncing it."""
-        descriptor = self._open(name)
-        view = memoryview(data)
-        while view:
-            written = os.write(descriptor, view)
-            view = view[written:]
+        write_all(self._open(name), data)
 
     def sync(self, name: str) -> None:
         """Make all earlier appends to a file durable."""
@@ -55,12 +61,16 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file atomically and durably."""
         self._close(name)
-        temporary = self._folder / f".{name}.new"
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(self._folder / name)
+        temporary = self._folder / f".{name}{_TEMPORARY_SUFFIX}"
+        try:
+            with temporary.open("wb") as file:
+                write_all(file.fileno(), data)
+                os.fsync(file.fileno())
+            temporary.replace(self._folder / name)
+        except OSError:
+            # A full disk has no room for the part that was written.
+            temporary.unlink(missing_ok=True)
+            raise
         self._sync_folder()
 
     def delete(self, name: str) -> None:
@@ -69,6 +79,16 @@
         (self._folder / name).unlink(missing_ok=True)
         self._sync_folder()
 
+    def close(self) -> None:
+        """Close all open files."""
+        for name in tuple(self._open_files):
+            self._close(name)
+
+    def _remove_temporary_files(self) -> None:
+        """Remove what a process left that was killed while it replaced a file."""
+        for path in self._folder.glob(f".*{_TEMPORARY_SUFFIX}"):
+            path.unlink(missing_ok=True)
+
     def _open(self, name: str) -> int:
         descriptor = self._open_files.get(name)
         if descriptor is None:
--- a/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_control_log_runner.py
@@ -21,7 +21,7 @@
 )
 from heathertack.messages import ControlStatus
 from heathertack.state import ControlStateMachine, SetDraining
-from heathertack.storage import StorageIdentity, format_folder, open_storage
+from heathertack.storage import Disk, StorageIdentity, format_folder, open_storage
 from heathertack.storage.tests.memory_disk import MemoryDisk
 from heathertackd import configure_logs, monotonic
 from heathertackd._control_log_runner import ControlLogRunner
@@ -86,8 +86,11 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    def _open_disk(self) -> Disk:
+        return self.disk
+
     def _build(self, board: Blackboard) -> ControlLogController:
-        opened = open_storage(self.disk).unwrap()
+        opened = open_storage(self._open_disk()).unwrap()
         machine = ControlStateMachine()
         machine.restore_snapshot(opened.durable.snapshot.data)
         replica = Replica(
@@ -101,10 +104,12 @@
 
 
 @asynccontextmanager
-async def run_log() -> AsyncIterator[RunningLog]:
+async def run_log(
+    build: Callable[[FaultyDisk], RunningLog] = RunningLog,
+) -> AsyncIterator[RunningLog]:
     disk = FaultyDisk()
     format_folder(disk, IDENTITY, initial_voters=(IDENTITY.replica,))
-    log = RunningLog(disk)
+    log = build(disk)
     failures = FailureLog(configure_logs("test", "critical"), log.metrics)
     log.runner.start(log.record_replies, failures)
     ticker = asyncio.create_task(_tick(log))
