Sync the log before a restarted process vouches for what it holds

A killed process may have written an entry and not synced it. Its successor read and counted it, so that a majority could hold an acknowledged change that a loss of power takes away (LOST). Opening a folder now syncs its segment and its names first.

--- a/packages/heathertack/src/heathertack/storage/_replica.py
+++ b/packages/heathertack/src/heathertack/storage/_replica.py
@@ -104,7 +104,7 @@
 
 
 def open_storage(disk: Disk) -> Result[OpenedStorage, StorageError]:
-    """Read a formatted data folder and truncate a torn tail of its log.
+    """Read a formatted data folder, truncate a torn tail of its log and sync it.
 
     Parameters
     ----------
@@ -133,6 +133,8 @@
         return Failure(StorageError(segment, 0, found, "the first frame of a segment"))
     if frames.valid_length < len(data):
         disk.replace(segment, data[: frames.valid_length])
+    # A killed process may have written what it did not sync.
+    disk.sync(segment)
     replay = _replay(segment, frames.payloads)
     if isinstance(replay, StorageError):
         return Failure(replay)
--- a/packages/heathertack/src/heathertack/storage/tests/memory_disk.py
+++ b/packages/heathertack/src/heathertack/storage/tests/memory_disk.py
@@ -43,6 +43,9 @@
     def fail_after(self, steps: int) -> None:
         self._steps_left = steps
 
+    def recover(self) -> None:
+        self._steps_left = None
+
     def last_segment(self) -> str:
         return next(n for n in reversed(self.list_files()) if n.startswith("log-"))
 
--- a/packages/heathertack/src/heathertack/storage/tests/test_storage.py
+++ b/packages/heathertack/src/heathertack/storage/tests/test_storage.py
@@ -80,14 +80,26 @@
         storage.append((make_entry(1), make_entry(2), make_entry(3)))
         storage.sync()
         disk.fail_after(steps)
-        try:
+        with suppress(OSError):
             storage.save_snapshot(Snapshot(2, 1, Membership(("a",)), b"state"))
-        except OSError:
-            disk.crash()
+        disk.crash()
         durable = open_storage(disk).unwrap().durable
         indexes = [e.log_index for e in durable.entries]
         assert (durable.snapshot.log_index, indexes) in ((0, [1, 2, 3]), (2, [3]))
 
+    # Guards against an entry that a restarted process vouches for, although only its
+    # killed predecessor wrote it and nobody synced it (LOST).
+    def test_what_was_opened_survives_a_loss_of_power(self, disk: MemoryDisk) -> None:
+        storage = reopen(disk)
+        storage.append((make_entry(1),))
+        disk.fail_after(0)
+        with pytest.raises(OSError, match="disk failure"):
+            storage.sync()
+        disk.recover()
+        assert stored_indexes(disk) == [1]
+        disk.crash()
+        assert stored_indexes(disk) == [1]
+
     @pytest.mark.parametrize("kept", [0, 1, 10, 30])
     def test_truncates_torn_tail(self, disk: MemoryDisk, kept: int) -> None:
         storage = reopen(disk)
--- a/packages/heathertackd/src/heathertackd/_disk.py
+++ b/packages/heathertackd/src/heathertackd/_disk.py
@@ -36,7 +36,7 @@
         probe = folder / ".probe"
         probe.write_bytes(b"")
         probe.unlink()
-        self._remove_temporary_files()
+        self._clean_up()
 
     def list_files(self) -> tuple[str, ...]:
         """Return the names of all files, sorted."""
@@ -84,10 +84,12 @@
         for name in tuple(self._open_files):
             self._close(name)
 
-    def _remove_temporary_files(self) -> None:
-        """Remove what a process left that was killed while it replaced a file."""
+    def _clean_up(self) -> None:
+        """Complete or remove what a process left that was killed meanwhile."""
         for path in self._folder.glob(f".*{_TEMPORARY_SUFFIX}"):
             path.unlink(missing_ok=True)
+        # It may not have synced the names of its files either.
+        self._sync_folder()
 
     def _open(self, name: str) -> int:
         descriptor = self._open_files.get(name)
