--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -25,6 +25,9 @@
     open_forwarding_session,
 )
 
+#: Name, colon and line end of the shortest header field.
+_MIN_HEADER_FIELD_BYTES = 4
+
 
 class StandardFrontend:
     """Serves completions, calls, forwarded routes and operators on one listener.
@@ -61,6 +64,7 @@
             access_log=None,
             max_field_size=limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
+            max_headers=limits.max_header_bytes // _MIN_HEADER_FIELD_BYTES,
         )
 
     async def start(self) -> None:
--- a/packages/heathertackd/src/heathertackd/tests/test_system.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_system.py
@@ -474,6 +474,23 @@
         asyncio.run(scenario())
 
 
+class TestHeaders:
+    # Guards against a limit of the HTTP library that no setting knows.
+    def test_many_short_headers_are_allowed(self, start_system: SystemStarter) -> None:
+        system = start_system(SystemShape())
+        headers = {f"X-A{number}": "1" for number in range(300)}
+
+        async def scenario() -> int:
+            url = f"http://{entry_address(system)}/healthz"
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url, headers=headers) as response,
+            ):
+                return response.status
+
+        assert asyncio.run(scenario()) == 200
+
+
 class TestLeaving:
     def test_shutdown_cuts_off_nothing(self, start_system: SystemStarter) -> None:
         system = start_system(SystemShape(engine_step_seconds=0.03))
