Close connections at a planned stop without dropping what callers send on them

Callers saw: a request whose body was under way when the addresses of a leaving instance ran out got no answer and was cut at the end of the grace period (LOST); the first request of a connection that opened at that moment was dropped, too. Cause: the HTTP library drops bytes after a connection was told to close. Now connections with a request close with their answer, the others at once; a body that never comes is refused in time; a request counts from its receipt. The own listener waits 1 s, not 60 s, for such connections.

--- a/packages/heathertackd/src/heathertackd/_caller_api.py
+++ b/packages/heathertackd/src/heathertackd/_caller_api.py
@@ -122,7 +122,7 @@
     ) -> web.StreamResponse:
         try:
             check_request_text(request)
-            check_accepts_requests(self._instance.drain)
+            check_accepts_requests(self._instance.drain, _clock.monotonic())
             return await handler(request)
         except RefusedError as error:
             account = self._instance.metrics.account_label("unknown")
--- a/packages/heathertackd/src/heathertackd/_connection_guard.py
+++ b/packages/heathertackd/src/heathertackd/_connection_guard.py
@@ -75,6 +75,20 @@
                 excess -= 1
                 connection.transport.close()
 
+    def close_idle(self, connections: list[Any]) -> None:
+        """Close the connections that carry no request.
+
+        The others must close with their responses: the HTTP library drops what arrives
+        of a request's body after a connection was told to close.
+        """
+        for connection in connections:
+            if connection in self._busy:
+                continue
+            connection.close()
+            # One that has just opened would only drop its first request otherwise.
+            if connection.transport is not None:
+                connection.transport.close()
+
     async def _track(
         self, request: RequestType, handler: Handler[RequestType]
     ) -> web.StreamResponse:
--- a/packages/heathertackd/src/heathertackd/_refusals.py
+++ b/packages/heathertackd/src/heathertackd/_refusals.py
@@ -11,7 +11,6 @@
 
 from heathertack.controllers import DrainController, Execution, Refusal
 from heathertack.decoding import check_texts
-from heathertackd import _clock
 
 #: Retry delay sent by an instance that leaves, seconds: other instances serve.
 _LEAVING_RETRY_SECONDS = 0.0
@@ -79,17 +78,24 @@
     return not_run("leaving", message, _LEAVING_RETRY_SECONDS)
 
 
-def check_accepts_requests(drain: DrainController) -> None:
-    """Check that the instance still serves new requests.
+def check_accepts_requests(drain: DrainController, received_at: float) -> None:
+    """Check that the instance still served new requests when one was received.
 
     Callers that keep sending would otherwise keep a leaving process from ending.
 
+    Parameters
+    ----------
+    drain : DrainController
+        State of the instance's departure.
+    received_at : float
+        Time at which the request was received, monotonic clock, seconds.
+
     Raises
     ------
     RefusedError
         If it has left, so that nobody may know its address any more.
     """
-    if not drain.accepts_requests(_clock.monotonic()):
+    if not drain.accepts_requests(received_at):
         raise RefusedError(leaving("the instance has left"))
 
 
--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -27,6 +27,9 @@
 
 #: Name, colon and line end of the shortest header field.
 _MIN_HEADER_FIELD_BYTES = 4
+#: Maximum wait for open connections after the listener is closed. One that opened at
+#: that moment is told to close before it reads, and then never ends by itself.
+_CLOSE_TIMEOUT_SECONDS = 1.0
 
 
 class StandardFrontend:
@@ -64,6 +67,7 @@
             access_log=None,
             max_field_size=limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
+            shutdown_timeout=_CLOSE_TIMEOUT_SECONDS,
             max_headers=limits.max_header_bytes // _MIN_HEADER_FIELD_BYTES,
         )
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import math
 from itertools import count
 
 import aiohttp
@@ -17,7 +18,7 @@
 from heathertack.settings import resolve_limits
 from heathertackd import _clock
 from heathertackd._bounded_connector import BoundedConnector
-from heathertackd._caller_limits import choose_caller_limits
+from heathertackd._caller_limits import CallerLimits, choose_caller_limits
 from heathertackd._instance import Instance
 from heathertackd._refusals import (
     RefusedError,
@@ -109,11 +110,15 @@
         )
         self._request_numbers = count(1)
         self._sessions: set[ForwardingSession] = set()
+        #: Limits of the bodies that are being read.
+        self._body_timeouts: set[asyncio.Timeout] = set()
 
     def limit_time(self, until: float) -> None:
         """Answer all open requests by a time on the monotonic clock, seconds."""
         for session in tuple(self._sessions):
             session.limit_time(until)
+        for timeout in self._body_timeouts:
+            _limit(timeout, until)
 
     async def monitor_streams(self) -> None:
         """Move open streams off targets that are about to be lost, until cancelled."""
@@ -160,7 +165,7 @@
             instance has left.
         """
         drain = self._instance.drain
-        check_accepts_requests(drain)
+        check_accepts_requests(drain, spec.received_at)
         if drain.can_answer(spec.deadline):
             return
         left = drain.answer_deadline - _clock.monotonic()
@@ -206,7 +211,7 @@
             raise RefusedError(not_run("unknown_service", f"no route leads to {path}"))
         head = self._read_head(request)
         account = self._authenticate(view, bundle, match.route, head)
-        body = await read_body(request, limits.max_body_bytes, limits.idle_timeout)
+        body = await self._read_body(request, limits)
         service = choose_service(match.route, head.request_id)
         engine = bundle["services"][service].get("engine")
         return RequestSpec(
@@ -232,6 +237,28 @@
             ),
         )
 
+    async def _read_body(self, request: web.BaseRequest, limits: CallerLimits) -> bytes:
+        """Read a body, at the longest until an instance that leaves must answer.
+
+        Raises
+        ------
+        RefusedError
+            If the body is too large or does not arrive in time.
+        """
+        timeout = asyncio.timeout(None)
+        try:
+            async with timeout:
+                self._body_timeouts.add(timeout)
+                _limit(timeout, self._instance.drain.answer_deadline)
+                return await read_body(
+                    request, limits.max_body_bytes, limits.idle_timeout
+                )
+        except TimeoutError as error:
+            message = "the instance leaves before the body has arrived"
+            raise RefusedError(leaving(message)) from error
+        finally:
+            self._body_timeouts.discard(timeout)
+
     async def _wait_for_bundle(self) -> BundleView:
         """Return the bundle, waiting for it if the process has just started."""
         board = self._instance.board
@@ -271,6 +298,13 @@
         return account
 
 
+def _limit(timeout: asyncio.Timeout, until: float) -> None:
+    """End a timeout by a time on the monotonic clock, seconds, if that is finite."""
+    if math.isfinite(until) and not timeout.expired():
+        left = until - _clock.monotonic()
+        timeout.reschedule(asyncio.get_running_loop().time() + left)
+
+
 def _check_header(request: web.BaseRequest, max_bytes: int) -> None:
     line = len(request.method) + len(request.raw_path) + _LINE_EXTRA_BYTES
     fields = sum(
--- a/packages/heathertackd/src/heathertackd/tests/test_connection_guard.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_connection_guard.py
@@ -1,3 +1,5 @@
+import asyncio
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -22,6 +24,9 @@
     def __init__(self) -> None:
         self.transport = _Transport()
 
+    def close(self) -> None:
+        """Do nothing: it would only end with its next response."""
+
 
 class _Request:
     """The part of a request that the guard reads."""
@@ -119,3 +124,43 @@
         )
         expected = ConnectionBounds(7, 3.0, 60.0)
         assert choose_connection_bounds(bundle, limits) == expected
+
+
+class TestCloseIdle:
+    # Guards against a connection that stays open and drops its request (LOST).
+    async def test_connection_that_has_just_opened_ends(self) -> None:
+        async def handler(request: Any) -> web.StreamResponse:
+            del request
+            return web.Response()
+
+        guard = ConnectionGuard(lambda: BOUNDS)
+        server = web.Server(guard.wrap(handler))
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        opening = asyncio.create_task(asyncio.open_connection("127.0.0.1", port))
+        while not server.connections:
+            await asyncio.sleep(0)
+        guard.close_idle(server.connections)
+        reader, writer = await opening
+        writer.write(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            with suppress(ConnectionError):
+                assert await reader.read() == b""
+        writer.close()
+        listener.close()
+        await server.shutdown(0.0)
+
+    async def test_connection_with_a_request_stays_open(self, clock: _Clock) -> None:
+        guard = ConnectionGuard(lambda: BOUNDS)
+        connection = _Connection()
+
+        async def handler(request: Any) -> web.StreamResponse:
+            del request
+            guard.close_idle([connection])
+            assert not connection.transport.is_closed
+            return web.Response()
+
+        await guard.wrap(handler)(_Request(connection))
+        guard.close_idle([connection])
+        assert connection.transport.is_closed
