Check planned stops with the users' rules, and play them in the soak

heathertack_fakes.rules holds checks of LOST (planned stops), REFUSED, TWICE and ORDER that are written from the users' sentences over records of clients, engines and the platform, each with records that break it and that keep it at its bound.

--- a/Makefile
+++ b/Makefile
@@ -41,9 +41,10 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.bench --bin=$(BIN)
 
-# Injects random faults into running processes: make soak SEED=1 COUNT=50
+# Injects random faults into running processes: make soak SEED=1 COUNT=50; with
+# SOAK=--planned it only stops and starts machines as planned.
 soak: $(VENV)/.installed
-	$(BIN)/python -m heathertack_platform.soak --seed=$(SEED) --count=$(COUNT)
+	$(BIN)/python -m heathertack_platform.soak $(SOAK) --seed=$(SEED) --count=$(COUNT)
 
 # Feeds bytes of other writers to all decoders: make fuzz SEED=1 COUNT=2000
 fuzz: $(VENV)/.installed
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/rules/__init__.py
@@ -0,0 +1,31 @@
+"""Checks of the users' rules over what clients and engines recorded.
+
+They read the users' rules, not the product: a check takes records that can be made
+without the product's logs, and names the rule that a record breaks.
+"""
+
+from heathertack_fakes.rules._planned_stops import find_lost_requests
+from heathertack_fakes.rules._records import (
+    ClientAttempt,
+    EngineWork,
+    Stop,
+    StopBounds,
+    Violation,
+)
+from heathertack_fakes.rules._requests import (
+    find_repeated_runs,
+    find_untrue_refusals,
+    find_wrong_streams,
+)
+
+__all__ = [
+    "ClientAttempt",
+    "EngineWork",
+    "Stop",
+    "StopBounds",
+    "Violation",
+    "find_lost_requests",
+    "find_repeated_runs",
+    "find_untrue_refusals",
+    "find_wrong_streams",
+]
--- /dev/null
+++ b/packages/heathertack-fakes/src/heathertack_fakes/rules/_records.py
@@ -0,0 +1,70 @@
+"""Records of clients, engines and the platform. All times are on one clock, seconds."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ClientAttempt(NamedTuple):
+    """One request as its client saw it; an attempt has an id of its own."""
+
+    request_id: str
+    #: Instance that the client sent it to.
+    instance: str
+    #: Time at which its last byte was sent.
+    sent_at: float
+    #: Time at which its answer, or its connection, ended.
+    ended_at: float
+    #: Status of the answer, 0 without one.
+    status: int
+    #: Whether the answer is complete.
+    is_whole: bool
+    #: Time that its client and its route allow, from ``sent_at``.
+    time_budget: float
+    #: Whether it may run more than once.
+    is_idempotent: bool = False
+    #: Numbers of the events that the client received.
+    events: tuple[int, ...] = ()
+
+
+class EngineWork(NamedTuple):
+    """Work of an engine on a request."""
+
+    request_id: str
+    engine: str
+    began_at: float
+    ended_at: float
+    #: Whether the engine itself broke off.
+    broke_off: bool = False
+    #: Whether it goes on with the run of another engine, from a copy of its memory.
+    continues_run: bool = False
+    #: Number of the last event of the whole stream; 0 if the request is none.
+    last_event: int = 0
+
+
+class Stop(NamedTuple):
+    """The first SIGTERM that the process of an instance got."""
+
+    instance: str
+    at: float
+
+
+class StopBounds(NamedTuple):
+    """Bounds of a planned stop."""
+
+    #: Time from SIGTERM to SIGKILL.
+    grace: float
+    #: Time for which a request that is not passed on may cross the end of its
+    #: connection.
+    loss_slack: float
+
+
+class Violation(NamedTuple):
+    """A record that breaks a rule."""
+
+    rule: str
+    request_id: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.request_id} {self.detail}"
