--- a/packages/heathertackd/src/heathertackd/_daemon.py
+++ b/packages/heathertackd/src/heathertackd/_daemon.py
@@ -356,6 +356,17 @@
             now = _clock.monotonic()
         left = instance.board.read(DRAIN).open_requests
         self._logger.info("requests_ended", unanswered=left)
+        _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Ignore further signals until the process is gone.
+
+    The event loop restores the default action, which ends the process, when it closes.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _open_disk(settings: Settings) -> Disk:
