Abort callers' connections with too many bytes that are no payload

One caller could write header fields or a chunk extension without end: 809 and 802 MB reached a machine within 2 s, more than its memory, so that the requests of all others ended with it (LOST). Callers' connections may now carry 256 KiB, and as much as their payload, that is no payload.

--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -1,5 +1,6 @@
 """The heathertack daemon."""
 
+from heathertackd._bounded_server import BoundedServer
 from heathertackd._caller_limits import choose_connection_bounds
 from heathertackd._clock import monotonic
 from heathertackd._connection_guard import ConnectionBounds, ConnectionGuard
@@ -25,6 +26,7 @@
 
 __all__ = [
     "BackgroundWork",
+    "BoundedServer",
     "ConnectionBounds",
     "ConnectionGuard",
     "Daemon",
--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -9,6 +9,7 @@
 
 from heathertack.blackboard import BUNDLE
 from heathertack.settings import resolve_limits
+from heathertackd._bounded_server import BoundedAppRunner
 from heathertackd._call_session import CallRunner, PlainClient
 from heathertackd._caller_api import CallerApi
 from heathertackd._caller_limits import choose_connection_bounds
@@ -61,7 +62,7 @@
         OperatorApi(instance).add_routes(app)
         # Added last: a path that the product does not use may be a route of the bundle.
         app.router.add_route("*", "/{path:.*}", self._forwarder.handle)
-        self._runner = web.AppRunner(
+        self._runner = BoundedAppRunner(
             app,
             handler_cancellation=True,
             access_log=None,
