--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -59,6 +59,8 @@
     draining: frozenset[str] = frozenset()
     #: Services with the software versions that their targets have, or had lately.
     versions: tuple[tuple[str, str], ...] = ()
+    #: Failure domains whose targets must get no new requests.
+    evacuated: frozenset[str] = frozenset()
 
     def may_lead(self, now: float) -> bool:
         """Return whether this instance may act as the leader."""
--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -250,6 +250,7 @@
             bundle_index=bundle.log_index if bundle is not None else 0,
             suspects=self._list_suspects(),
             draining=self._machine.draining,
+            evacuated=self._machine.evacuated,
             versions=tuple((v.service, v.version) for v in self._machine.versions),
         )
         if view != self._board.read(CONTROL):
--- a/packages/heathertack/src/heathertack/state/__init__.py
+++ b/packages/heathertack/src/heathertack/state/__init__.py
@@ -15,7 +15,7 @@
     SetDraining,
     SettleCall,
 )
-from heathertack.state._machine import ControlStateMachine
+from heathertack.state._machine import ControlStateMachine, order_evacuation
 from heathertack.state._records import (
     AcceptedBundle,
     BundleHeader,
@@ -70,4 +70,5 @@
     "SettleCall",
     "TargetLoss",
     "VersionRecord",
+    "order_evacuation",
 ]
--- a/packages/heathertack/src/heathertack/state/_machine.py
+++ b/packages/heathertack/src/heathertack/state/_machine.py
@@ -43,6 +43,9 @@
 #: Time for which a version without targets is remembered, seconds: longer than a
 #: stream that one of them began can last, with the error of the leaders' clocks.
 _VERSION_RETENTION_SECONDS = 180.0
+#: Prefix of the names under which evacuated failure domains stand among the draining
+#: instances, where builds without evacuations keep them and match them with nothing.
+_DOMAIN_PREFIX = "failure-domain/"
 
 
 class _SnapshotData(NamedTuple):
@@ -99,7 +102,16 @@
     @property
     def draining(self) -> frozenset[str]:
         """Instances that an operator marked as draining."""
-        return self._draining
+        return frozenset(n for n in self._draining if not n.startswith(_DOMAIN_PREFIX))
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose targets must get no new requests."""
+        return frozenset(
+            name.removeprefix(_DOMAIN_PREFIX)
+            for name in self._draining
+            if name.startswith(_DOMAIN_PREFIX)
+        )
 
     @property
     def barred_replicas(self) -> frozenset[str]:
@@ -247,6 +259,11 @@
         return Done()
 
 
+def order_evacuation(domain: str, *, evacuated: bool) -> SetDraining:
+    """Return the command that evacuates or readmits a failure domain."""
+    return SetDraining(_DOMAIN_PREFIX + domain, evacuated)
+
+
 def _resolve_old_version(command: ApplyBundle, current: AcceptedBundle) -> Result:
     """Return the result for a version that is not above the current one."""
     if command.version < current.version:
