Let the leader decide about evacuation orders with its term and order count

Cause: a delayed copy of an evacuation order could undo a later one. Change: EvacuationRequest and EvacuationReply are new messages. The control log proposes an order only with the current term and count, in one step with the check. An order that changes nothing counts, too: otherwise a delayed opposite order would stay current.

--- a/packages/heathertack/src/heathertack/controllers/_control_log.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log.py
@@ -36,12 +36,14 @@
     ChangeReplicas,
     CommandSubmitted,
     ConsensusReceived,
+    EvacuationReceived,
     Event,
     JoinReceived,
     ProposalsDue,
     ReplicaOperation,
     TimePassed,
 )
+from heathertack.controllers._evacuation_orders import EvacuationOrders, LogState
 from heathertack.controllers._loss_suspects import (
     find_surplus_records,
     list_suspects,
@@ -62,6 +64,7 @@
     NotFound,
     RecordServiceVersions,
     ReportTargetLoss,
+    SetDraining,
 )
 from heathertack.storage import ReplicaStorage
 
@@ -173,6 +176,7 @@
         self._listed_losses: tuple[LossRecord, ...] = ()
         self._suspects: tuple[tuple[str, int], ...] = ()
         self._suspects_at = 0.0
+        self._evacuations = EvacuationOrders()
         board.register(self)
 
     @property
@@ -222,6 +226,8 @@
                 self._queued.append(event)
             case ProposalsDue():
                 self._propose_queued(now)
+            case EvacuationReceived():
+                self._handle_evacuation(event, now)
             case JoinReceived():
                 self._add_learner(event.request.replica, now)
             case ChangeReplicas():
@@ -335,6 +341,26 @@
         self._pending[index] = _PendingCommand(key, term, (requester,))
         self._pending_indexes[key] = index
 
+    def _handle_evacuation(self, event: EvacuationReceived, now: float) -> None:
+        """Propose or answer an order in one step with the check that it is current."""
+        replica = self._replica
+        leader = instance_of(replica.leader)
+        evacuated = self._machine.evacuated
+        log = LogState(replica.has_lease(now), replica.term, leader, evacuated)
+        decision = self._evacuations.decide(event, log)
+        if isinstance(decision, SendToPeer):
+            self._actions.append(decision)
+        if not isinstance(decision, SetDraining):
+            return
+        payload = COMMAND_CODEC.encode(decision)
+        result, effects = replica.propose((payload,), now)
+        if isinstance(result, Success):
+            proposal = result.unwrap()
+            self._evacuations.record_proposal(
+                event, proposal.first_index, proposal.term
+            )
+        self._carry_out(effects)
+
     def _handle_tick(self, wall_time: float, now: float) -> None:
         self._wall_time = wall_time
         self._carry_out(self._replica.tick(now))
@@ -523,6 +549,11 @@
             self._applied_index = entry.log_index
             self._report_committed(entry)
             result = self._apply_entry(entry)
+            confirmed = self._evacuations.confirm(
+                entry.log_index, entry.term, instance_of(self._replica.leader)
+            )
+            if confirmed is not None:
+                self._actions.append(confirmed)
             pending = self._pending.pop(entry.log_index, None)
             if pending is None:
                 continue
@@ -563,6 +594,8 @@
             self._answer_unavailable(pending)
         self._pending.clear()
         self._pending_indexes.clear()
+        leader = instance_of(self._replica.leader)
+        self._actions.extend(self._evacuations.abandon(leader))
 
     def _answer_unavailable(self, pending: _PendingCommand) -> None:
         for requester in pending.requesters:
--- a/packages/heathertack/src/heathertack/controllers/_control_log_events.py
+++ b/packages/heathertack/src/heathertack/controllers/_control_log_events.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from heathertack.consensus import ConsensusMessage
-from heathertack.messages import JoinRequest
+from heathertack.messages import EvacuationRequest, JoinRequest
 from heathertack.state import Command
 
 
@@ -33,6 +33,13 @@
     wall_time: float
 
 
+class EvacuationReceived(NamedTuple):
+    """An instance sent an order to evacuate or readmit a failure domain."""
+
+    sender: str
+    request: EvacuationRequest
+
+
 class ProposalsDue(NamedTuple):
     """The submitted commands are to be proposed as one batch."""
 
@@ -63,6 +70,7 @@
     ConsensusReceived
     | JoinReceived
     | CommandSubmitted
+    | EvacuationReceived
     | ProposalsDue
     | ChangeReplicas
     | TimePassed
--- a/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/control_cluster.py
@@ -9,6 +9,7 @@
     CommandSubmitted,
     ConsensusReceived,
     ControlLogController,
+    EvacuationReceived,
     JoinReceived,
     ProposalsDue,
     ReplyToCommand,
@@ -18,6 +19,8 @@
 from heathertack.messages import (
     PEER_CODEC,
     ControlStatus,
+    EvacuationReply,
+    EvacuationRequest,
     JoinRequest,
     PeerMessage,
 )
@@ -97,6 +100,8 @@
         self.acknowledged: set[str] = set()
         self.applied: dict[int, bytes] = {}
         self.leaders: dict[int, str] = {}
+        #: Replies to evacuation requests, in the order of their arrival.
+        self.evacuation_replies: list[EvacuationReply] = []
         for name in names:
             self.nodes[name].format(forms_cluster=name == "a")
             self.start(name)
@@ -149,6 +154,12 @@
         self.carry_out(node, node.log.handle(ProposalsDue(), self.clock(node)))
         return True
 
+    def send_evacuation(
+        self, sender: str, receiver: str, request: EvacuationRequest
+    ) -> None:
+        """Send an evacuation request from one instance to another, or to itself."""
+        self._send(sender, receiver, request)
+
     def leader(self) -> str | None:
         leaders = [node.name for node in self.nodes.values() if self.may_lead(node)]
         assert len(leaders) <= 1, f"two leases at once: {leaders}"
@@ -270,9 +281,15 @@
         if node.log is None or self.isolated & ends or ends in self.cut_links:
             return
         message = PEER_CODEC.decode(envelope.data).unwrap()
-        event = (
-            JoinReceived(message)
-            if isinstance(message, JoinRequest)
-            else ConsensusReceived(message)  # type: ignore[arg-type]
-        )
-        self.carry_out(node, node.log.handle(event, self.clock(node)))
+        match message:
+            case EvacuationReply():
+                self.evacuation_replies.append(message)
+            case EvacuationRequest():
+                received = EvacuationReceived(envelope.sender, message)
+                self.carry_out(node, node.log.handle(received, self.clock(node)))
+            case JoinRequest():
+                joined = JoinReceived(message)
+                self.carry_out(node, node.log.handle(joined, self.clock(node)))
+            case _:
+                consensus = ConsensusReceived(message)  # type: ignore[arg-type]
+                self.carry_out(node, node.log.handle(consensus, self.clock(node)))
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,6 +1,11 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
+from heathertack.messages._evacuations import (
+    EvacuationReply,
+    EvacuationRequest,
+    EvacuationStatus,
+)
 from heathertack.messages._frames import build_frames, join_frames
 from heathertack.messages._peer import (
     PEER_CODEC,
@@ -57,6 +62,9 @@
     "ControlReply",
     "ControlRequest",
     "ControlStatus",
+    "EvacuationReply",
+    "EvacuationRequest",
+    "EvacuationStatus",
     "JoinRequest",
     "LeaderHint",
     "LeaseGrant",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -13,6 +13,7 @@
     VoteResponse,
 )
 from heathertack.messages._codec import MessageCodec
+from heathertack.messages._evacuations import EvacuationReply, EvacuationRequest
 from heathertack.messages._reservations import (
     ReservationAnnounce,
     ReservationBlame,
@@ -227,6 +228,8 @@
     | UnreachableServices
     | RelayedPause
     | TargetRejectionRates
+    | EvacuationRequest
+    | EvacuationReply
 )
 
 #: Codec of the messages between instances.
@@ -263,5 +266,7 @@
         UnreachableServices,
         RelayedPause,
         TargetRejectionRates,
+        EvacuationRequest,
+        EvacuationReply,
     )
 )
--- a/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
+++ b/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
@@ -32,6 +32,9 @@
 )
 from heathertack.messages import (
     PEER_CODEC,
+    EvacuationReply,
+    EvacuationRequest,
+    EvacuationStatus,
     MessageCodec,
     PeerMessage,
     TargetRate,
@@ -139,6 +142,14 @@
         older = MessageCodec[Any]((TargetVersions,))
         assert kind.__name__ in older.decode(data).failure().detail
 
+    def test_older_build_ignores_evacuation_orders(self) -> None:
+        request = EvacuationRequest("r1", "nairobi-a", True, 7, 3)
+        reply = EvacuationReply("r1", EvacuationStatus.DONE, "nairobi-a", 7, 4)
+        older = MessageCodec[Any]((TargetVersions,))
+        for message in (request, reply):
+            name = type(message).__name__
+            assert name in older.decode(PEER_CODEC.encode(message)).failure().detail
+
     @pytest.mark.parametrize("codec", CODECS)
     def test_encodes_exactly_the_recorded_types(self, codec: str) -> None:
         recorded = {message["type"] for message in RECORDED[codec]}
