--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -12,6 +12,7 @@
 )
 from heathertackd._daemon import Daemon, StartError, WorkLostError
 from heathertackd._disk import FolderDisk
+from heathertackd._evacuation_client import EvacuationOrder, is_connected
 from heathertackd._frontend import Frontend, FrontendFactory
 from heathertackd._instance import Instance
 from heathertackd._leaving_watcher import (
@@ -36,6 +37,7 @@
     "ConnectionBounds",
     "ConnectionGuard",
     "Daemon",
+    "EvacuationOrder",
     "FailurePolicy",
     "FolderDisk",
     "Frontend",
@@ -60,6 +62,7 @@
     "configure_logs",
     "has_open_requests",
     "has_waiting_connections",
+    "is_connected",
     "monotonic",
     "read_limited",
 ]
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -42,6 +42,7 @@
     ControlLogEvent,
     CopyDropped,
     DrainController,
+    EvacuationReceived,
     InstanceIdentity,
     JoinReceived,
     LeaderHintReceived,
@@ -106,6 +107,9 @@
     ControlReply,
     ControlRequest,
     ControlStatus,
+    EvacuationReply,
+    EvacuationRequest,
+    EvacuationStatus,
     JoinRequest,
     LeaderHint,
     LeaseGrant,
@@ -140,6 +144,7 @@
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
+from heathertackd._evacuation_client import EvacuationClient
 from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
@@ -268,6 +273,7 @@
         )
         self.control = ControlClient(self.send, self._find_leader, logger)
         self._commands = CommandQueue(self.control, logger)
+        self.evacuations = EvacuationClient(self.send, self._find_leader, logger)
         self._listeners: dict[str, PlacementListener] = {}
         self._in_force_events: dict[int, asyncio.Event] = {}
         self._bundle_waiters: set[asyncio.Future[None]] = set()
@@ -363,6 +369,10 @@
                 self._submit_command(sender, message, now)
             case ControlReply():
                 self.control.receive(sender, message)
+            case EvacuationRequest():
+                self._submit_evacuation(sender, message)
+            case EvacuationReply():
+                self.evacuations.receive(sender, message)
             case StreamOrigins() | StreamOriginQuery() | StreamOriginReply():
                 self._handle_origin_message(sender, message, now)
             case TargetPauses():
@@ -596,6 +606,8 @@
         self._log_may_lead(now)
         self._pushes.flush(now)
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
+        evacuated = self.board.read(CONTROL).evacuated
+        self.metrics.evacuated_domains.set(len(evacuated))
 
     def _apply_leaving_targets(self, changed: Iterable[str], source: str) -> None:
         """Apply changed beliefs to the table of targets, and log them."""
@@ -817,6 +829,14 @@
             case Failure(error):
                 self.logger.warning("command_unreadable", detail=error.detail)
 
+    def _submit_evacuation(self, sender: str, request: EvacuationRequest) -> None:
+        if self.control_log is not None:
+            self.post_control(EvacuationReceived(sender, request))
+            return
+        status = EvacuationStatus.NOT_LEADER
+        leader = self.board.read(LEASE).leader
+        self.send(sender, EvacuationReply(request.request_id, status, leader, 0, 0))
+
     def _carry_out(self, actions: Iterable[Action]) -> None:
         for action in actions:
             match action:
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -72,6 +72,11 @@
             "Targets that limit the rate of their requests",
             registry=self._registry,
         )
+        self.evacuated_domains = Gauge(
+            "heathertack_evacuated_domains",
+            "Evacuated failure domains, on instances with a control log",
+            registry=self._registry,
+        )
         self.dropped_events = Counter(
             "heathertack_dropped_events",
             "Events of engines that were not delivered",
