--- a/packages/heathertack-cli/src/heathertack_cli/_remote.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_remote.py
@@ -87,6 +87,11 @@
     return RemoteCommand("POST", "/operator/drain", document, _render_done)
 
 
+def _build_evacuation(options: dict[str, Any]) -> RemoteCommand:
+    document = {"domain": options["DOMAIN"], "evacuated": bool(options["evacuate"])}
+    return RemoteCommand("POST", "/operator/evacuations", document, _render_done)
+
+
 def _build_replicas(options: dict[str, Any]) -> RemoteCommand:
     operation = "add" if options["add"] else "remove"
     document = {"operation": operation, "replica": options["REPLICA"]}
@@ -123,6 +128,8 @@
     "bundle": _build_bundle,
     "status": _build_status,
     "drain": _build_drain,
+    "evacuate": _build_evacuation,
+    "readmit": _build_evacuation,
     "replicas": _build_replicas,
     "calls": _build_calls,
     "quarantine": _build_quarantine,
@@ -183,6 +190,9 @@
         f"  {item['failure_domain']}  {item['address']}"
         for item in document["targets"]
     ]
+    lines += [
+        f"evacuated domain {name}" for name in document.get("evacuated_domains", [])
+    ]
     lines += [f"replica {name}  voter" for name in document["replicas"]]
     lines += [f"replica {name}  learner" for name in document["learners"]]
     lines += [f"replica {name}  REGRESSED" for name in document["regressed_replicas"]]
--- a/packages/heathertack-cli/src/heathertack_cli/_usage.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_usage.py
@@ -15,6 +15,8 @@
   heathertack bundle history [options]
   heathertack status [options]
   heathertack drain INSTANCE [--undo] [options]
+  heathertack evacuate DOMAIN [options]
+  heathertack readmit DOMAIN [options]
   heathertack replicas (add | remove) REPLICA [options]
   heathertack calls [--unknown] [options]
   heathertack calls settle ACCOUNT KEY (--ran | --not-run) --note=TEXT [options]
--- a/packages/heathertack/src/heathertack/operators/_documents.py
+++ b/packages/heathertack/src/heathertack/operators/_documents.py
@@ -4,6 +4,8 @@
 
 from typing import NotRequired, TypedDict
 
+from heathertack.decoding import Name
+
 
 class BundleDocument(TypedDict):
     """Request to apply a signed bundle."""
@@ -20,6 +22,14 @@
     draining: bool
 
 
+class EvacuationDocument(TypedDict):
+    """Request to evacuate or readmit a failure domain."""
+
+    domain: Name
+    #: Whether the domain is to be evacuated; otherwise it is readmitted.
+    evacuated: bool
+
+
 class ReplicaDocument(TypedDict):
     """Request to add or remove a replica of the control log."""
 
@@ -84,6 +94,8 @@
     replicas: list[str]
     learners: list[str]
     regressed_replicas: list[str]
+    #: Evacuated failure domains; absent on instances without a control log.
+    evacuated_domains: NotRequired[list[str]]
 
 
 class CallDocument(TypedDict):
--- a/packages/heathertackd/src/heathertackd/_operator_api.py
+++ b/packages/heathertackd/src/heathertackd/_operator_api.py
@@ -29,6 +29,7 @@
     BundleDocument,
     CallDocument,
     DrainDocument,
+    EvacuationDocument,
     QuarantineClearDocument,
     QuarantineDocument,
     ReplicaDocument,
@@ -52,6 +53,7 @@
     SettleCall,
 )
 from heathertackd import _clock
+from heathertackd._evacuation_client import EvacuationOrder, is_connected
 from heathertackd._instance import Instance
 from heathertackd._refusals import RefusedError, check_request_text
 
@@ -84,6 +86,7 @@
         get("/operator/bundles/current", self._require_leader(self._get_bundle))
         post("/operator/bundles", self._require_leader(self._apply_bundle))
         post("/operator/drain", self._require_leader(self._drain))
+        post("/operator/evacuations", self._require_signature(self._evacuate))
         post("/operator/replicas", self._require_leader(self._change_replicas))
         get("/operator/calls", self._require_leader(self._list_calls))
         post("/operator/calls/settle", self._require_leader(self._settle_call))
@@ -187,6 +190,8 @@
             learners=list(membership.learners) if membership else [],
             regressed_replicas=sorted(regressed),
         )
+        if control_log is not None:
+            status["evacuated_domains"] = sorted(board.read(CONTROL).evacuated)
         return _json_response(status)
 
     async def _explain(self, request: web.Request) -> web.Response:
@@ -259,6 +264,22 @@
             lambda document: SetDraining(document["instance"], document["draining"]),
         )
 
+    async def _evacuate(self, request: web.Request) -> web.Response:
+        match await _read_document(request, EvacuationDocument):
+            case Success(document) if document["domain"]:
+                order = EvacuationOrder(document["domain"], document["evacuated"])
+                is_done = await self._instance.evacuations.confirm(
+                    order, _COMMIT_TIMEOUT_SECONDS, lambda: is_connected(request)
+                )
+                return _json_response({"done": True}) if is_done else _unavailable()
+            case Success(_):
+                message = "domain is empty, expected the name of a failure domain"
+                return _error(400, "invalid_request", message)
+            case Failure(message):
+                return _error(400, "invalid_request", message)
+            case _:
+                return _error(500, "internal_error", "no result")
+
     async def _settle_call(self, request: web.Request) -> web.Response:
         return await self._commit_document(
             request, SettleDocument, lambda document: SettleCall(**document)
