Treat responses with impossible statuses as lost

Cause: the HTTP library passes on any three digits as a status. Statuses such as 000, 101 and 600 reached callers, were recorded as outcomes of calls, and counted as success of moves, reports and the target list. Change: sessions for targets and the platform refuse statuses outside 200 to 599, and use nothing that such a response says. Repeatable requests go to another target, others get 502. Recorded outcomes with such a status are not replayed.

--- a/packages/heathertack/src/heathertack/controllers/_call.py
+++ b/packages/heathertack/src/heathertack/controllers/_call.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, assert_never
 
 from heathertack.controllers._generation_types import Execution, Refusal
+from heathertack.decoding import is_final_status
 from heathertack.state import (
     CallFound,
     CallOutcome,
@@ -232,7 +233,11 @@
 
 
 def _replay(outcome: CallOutcome) -> Action:
-    if outcome.is_body_stored:
+    """Return the recorded response, if it can be returned.
+
+    Earlier builds recorded statuses that no response can have.
+    """
+    if outcome.is_body_stored and is_final_status(outcome.status):
         return ReturnResponse(outcome, is_replay=True)
     message = f"the call ran with status {outcome.status}; its answer was not kept"
     refusal = Refusal("answer_not_kept", message, Execution.COMPLETED)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_call.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_call.py
@@ -144,6 +144,24 @@
                 assert action.status == status
                 assert action.refusal.execution is execution
 
+    # Guards against a status that an earlier build recorded and no caller may get.
+    @pytest.mark.parametrize(
+        ("status", "is_replayed"),
+        [(0, False), (99, False), (101, False), (600, False), (200, True), (599, True)],
+    )
+    def test_impossible_status_is_not_replayed(
+        self, status: int, is_replayed: bool
+    ) -> None:
+        outcome = OUTCOME._replace(status=status)
+        claimed = claimed_before(CallState.FINISHED, outcome=outcome)
+        (action,) = CallController("c", "d").handle(claimed)
+        if is_replayed:
+            assert action == ReturnResponse(outcome, is_replay=True)
+        else:
+            assert isinstance(action, ReturnRefusal)
+            assert action.status == 409
+            assert action.refusal.execution is Execution.COMPLETED
+
     def test_large_body_is_returned_but_not_recorded(self) -> None:
         controller = CallController("c", "d")
         controller.handle(GRANTED)
--- a/packages/heathertack/src/heathertack/decoding/__init__.py
+++ b/packages/heathertack/src/heathertack/decoding/__init__.py
@@ -10,6 +10,7 @@
 from heathertack.decoding._errors import DecodingError
 from heathertack.decoding._lists import SplitList, decode_entries
 from heathertack.decoding._numbers import parse_integer, parse_number
+from heathertack.decoding._statuses import is_final_status
 from heathertack.decoding._texts import check_texts
 from heathertack.decoding._types import (
     MAX_COUNT,
@@ -45,6 +46,7 @@
     "decode_entries",
     "decode_json",
     "decode_msgpack",
+    "is_final_status",
     "parse_address",
     "parse_integer",
     "parse_number",
--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -39,6 +39,7 @@
     RecordOutcome,
 )
 from heathertackd import _clock
+from heathertackd._impossible_statuses import refuse_impossible_statuses
 from heathertackd._instance import Instance
 from heathertackd._refusals import not_run, refusal_response
 from heathertackd._response_bodies import ResponseTooLargeError, read_limited
@@ -108,7 +109,7 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
-                middlewares=(prevent_resending,),
+                middlewares=(refuse_impossible_statuses, prevent_resending),
             ) as response:
                 body = await read_limited(response, _MAX_RESPONSE_BYTES)
                 content_type = response.headers.get("Content-Type", "")
--- a/packages/heathertackd/src/heathertackd/_target_sessions.py
+++ b/packages/heathertackd/src/heathertackd/_target_sessions.py
@@ -9,6 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from heathertackd._bounded_connector import BoundedConnector
+from heathertackd._impossible_statuses import refuse_impossible_statuses
 from heathertackd._relay_protocol import RelayedProtocol
 from heathertackd._target_connections import (
     CONNECT_TIMEOUT_SECONDS,
@@ -72,5 +73,7 @@
 def open_session(connections: TargetConnections | None = None) -> aiohttp.ClientSession:
     """Return a session for the platform's list and for targets."""
     return aiohttp.ClientSession(
-        connector=TargetConnector(connections), cookie_jar=aiohttp.DummyCookieJar()
+        connector=TargetConnector(connections),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(refuse_impossible_statuses,),
     )
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -18,6 +18,7 @@
 from heathertack.settings import resolve_limits
 from heathertackd import _clock
 from heathertackd._caller_limits import CallerLimits, choose_caller_limits
+from heathertackd._impossible_statuses import refuse_impossible_statuses
 from heathertackd._instance import Instance
 from heathertackd._refusals import (
     RefusedError,
@@ -75,7 +76,7 @@
         connector=TargetConnector(connections),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(prevent_resending,),
+        middlewares=(refuse_impossible_statuses, prevent_resending),
         trace_configs=[trace_transmissions()],
     )
 
--- a/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_plain_client.py
@@ -107,6 +107,29 @@
         assert isinstance(result, TargetResponded)
         assert result.outcome.body == b"first half"
 
+    # Guards against a status that is recorded as the outcome, and that callers get.
+    @pytest.mark.parametrize("body", [b"", b"done"])
+    @pytest.mark.parametrize(
+        "status", ["000", "99", "099", "101", "600", "1000", "+20", "2 0", "abc"]
+    )
+    async def test_answer_with_an_impossible_status_is_lost(
+        self, status: str, body: bytes
+    ) -> None:
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            writer.close()
+
+        server = await asyncio.start_server(run, HOST, 0)
+        target = build_target(server.sockets[0].getsockname()[1])
+        async with open_session() as session:
+            result = await PlainClient(session).send(target, build_call("POST"))
+        server.close()
+        assert isinstance(result, ResponseLost)
+
     async def test_endless_answer_is_lost(self) -> None:
         async def run(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/packages/heathertackd/src/heathertackd/tests/test_target_relay.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_target_relay.py
@@ -172,6 +172,19 @@
     return closed
 
 
+class TestImpossibleStatuses:
+    # Guards against a status that is refused on direct connections only.
+    @pytest.mark.parametrize("body", [b"", b"ok"])
+    @pytest.mark.parametrize(
+        "status", ["000", "99", "099", "600", "1000", "+20", "2 0", "abc"]
+    )
+    async def test_relayed_answer_is_an_error(self, status: str, body: bytes) -> None:
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        async with run_relay(serve_answer(head.encode() + body)) as system:
+            with pytest.raises(aiohttp.ClientError):
+                await system.get()
+
+
 class TestRelayedRequests:
     # Guards against an instance that serves nothing while its own links are cut.
     @pytest.mark.parametrize("connect", [refuse, hang])
