--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_impossible_statuses.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_impossible_statuses.py
@@ -32,7 +32,7 @@
     "20",
     "\uff12\uff10\uff10",
 )
-BODIES = (b"", b"done")
+BODIES = (b"", b"done", b"id: 1\ndata: t1\n\n")
 STREAM_KINDS = ("streaming", "resumable")
 
 
