Publish the targets of evacuated failure domains as leaving

Cause: an evacuation order is in the log, but nothing keeps requests from the targets. Change: the leader publishes the targets of evacuated domains as leaving, which older builds obey too, and pushes a change to all lease holders at once. EvacuatedTargets, which precedes each grant while a domain is evacuated, names those that keep running. Entry instances exclude them in their requests to owners, give back grants there, and refuse at once if a service has no other target.

--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -138,6 +138,10 @@
 TARGETS: Section[Mapping[str, TargetRecord]] = Section("targets", {})
 #: Leaving targets by name, as they told this instance.
 LEAVING_TARGETS: Section[Mapping[str, LeavingTarget]] = Section("leaving_targets", {})
+#: Targets that would be live if their failure domain were not evacuated.
+EVACUATED_TARGETS: Section[frozenset[str]] = Section("evacuated_targets", frozenset())
+#: Failure domains whose targets must get no requests, as the leader says.
+EVACUATED_DOMAINS: Section[frozenset[str]] = Section("evacuated_domains", frozenset())
 #: Software version by the name of the target; empty if the leader publishes none.
 TARGET_VERSIONS: Section[Mapping[str, str]] = Section("target_versions", {})
 SUSPECTS: Section[Mapping[str, int]] = Section("suspects", {})
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -75,6 +75,11 @@
     RequestOpened,
     StopStarted,
 )
+from heathertack.controllers._evacuated_targets import (
+    is_evacuated,
+    is_service_evacuated,
+    keeps_running,
+)
 from heathertack.controllers._generation import (
     GenerationController,
     GenerationLimits,
@@ -120,6 +125,7 @@
     TargetUncordoned,
 )
 from heathertack.controllers._lease_holder import (
+    EvacuationsReceived,
     InstanceIdentity,
     LeaderHintReceived,
     LeaseDue,
@@ -270,6 +276,7 @@
     "EndReceived",
     "EngineLoad",
     "EngineWeights",
+    "EvacuationsReceived",
     "Execution",
     "FailResponse",
     "GenerationAction",
@@ -403,7 +410,10 @@
     "find_version",
     "has_version",
     "instance_of",
+    "is_evacuated",
     "is_ready",
+    "is_service_evacuated",
+    "keeps_running",
     "list_incompatible_targets",
     "list_leaving_targets",
     "list_suspects",
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -14,6 +14,7 @@
 )
 from heathertack.controllers._bundle_archive import BundleArchive
 from heathertack.controllers._control_log_events import TimePassed
+from heathertack.controllers._evacuated_targets import EvacuationPublisher
 from heathertack.controllers._lease_timings import LeaseTimings
 from heathertack.controllers._loss_suspects import read_suspects
 from heathertack.controllers._tables import VersionedTable
@@ -139,6 +140,7 @@
         self._versions: VersionedTable[TargetVersion] = VersionedTable(
             self._next_sequence
         )
+        self._evacuations = EvacuationPublisher(self._next_sequence)
         self._holders: dict[str, _Holder] = {}
         self._cordoned: frozenset[str] = frozenset()
         self._reported_leaving: frozenset[str] = frozenset()
@@ -188,7 +190,10 @@
             # The log holds a newer bundle, which is announced in a moment.
             return ()
         self._reset_on_new_term(control.term, now)
-        pushes = self._update_suspects(control, now)
+        pushes = (
+            *self._update_suspects(control, now),
+            *self._update_evacuations(control, now),
+        )
         return (*pushes, *self._handle_as_leader(event, control, now))
 
     def _handle_as_leader(
@@ -233,6 +238,7 @@
         self._members.clear()
         self._targets.clear()
         self._versions.clear()
+        self._evacuations.clear()
         self._holders.clear()
         self._cordoned = frozenset()
         self._reported_leaving = frozenset()
@@ -254,6 +260,16 @@
             return ()
         return self._push_to_holders(control, now)
 
+    def _update_evacuations(
+        self, control: ControlView, now: float
+    ) -> tuple[Action, ...]:
+        """Publish the targets of evacuated or readmitted domains at once."""
+        if not self._evacuations.set_domains(control.evacuated):
+            return ()
+        for name in self._listed:
+            self._put_target(name)
+        return self._push_to_holders(control, now)
+
     def _grant(
         self, request: LeaseRequest, control: ControlView, now: float
     ) -> tuple[Action, ...]:
@@ -279,7 +295,7 @@
     def _build_grant(
         self, request: LeaseRequest, control: ControlView, now: float
     ) -> tuple[SendToPeer, ...]:
-        """Return a grant, preceded by the versions that changed.
+        """Return a grant, preceded by what changed and has messages of its own.
 
         Returns nothing while the current bundle is on its way to the instance, which
         asks again when it has it: another copy would delay both.
@@ -305,11 +321,13 @@
             suspects=control.suspects if self._suspects_sequence > since else None,
         )
         sent_grant = SendToPeer(request.instance, grant)
+        evacuated = self._evacuations.build(self._term, since)
+        preceding = [SendToPeer(request.instance, message) for message in evacuated]
         versions = self._versions.changes_since(since)
-        if not versions:
-            return (sent_grant,)
-        changed = TargetVersions(self._term, versions)
-        return (SendToPeer(request.instance, changed), sent_grant)
+        if versions:
+            changed = TargetVersions(self._term, versions)
+            preceding.append(SendToPeer(request.instance, changed))
+        return (*preceding, sent_grant)
 
     def _start_push(self, instance: str, push: BundlePush, now: float) -> bool:
         """Record that a bundle is sent, and return whether it must be."""
@@ -352,6 +370,7 @@
             previous = self._targets.find(name)
             if name not in names and previous is not None:
                 gone = previous._replace(state=TargetState.GONE)
+                self._evacuations.forget(name)
                 changed |= self._targets.put(name, gone)
         pushes = self._push_to_holders(control, now) if changed else ()
         return (*record, *pushes)
@@ -401,10 +420,11 @@
             return False
         if name in self._cordoned or name in self._reported_leaving:
             target = target._replace(state=TargetState.LEAVING)
+        target, is_evacuation_changed = self._evacuations.apply(target)
         is_changed = self._targets.put(name, target)
         if is_changed:
             self._versions.touch(name)
-        return is_changed
+        return is_changed or is_evacuation_changed
 
     def _push_target(
         self, target: str, control: ControlView, now: float
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -9,6 +9,8 @@
     BUNDLE,
     CONTROL,
     DRAIN,
+    EVACUATED_DOMAINS,
+    EVACUATED_TARGETS,
     LEASE,
     LEAVING_TARGETS,
     LISTED_TARGETS,
@@ -30,10 +32,12 @@
     unpack_changes,
 )
 from heathertack.controllers._actions import SendToPeer
+from heathertack.controllers._evacuated_targets import EvacuationReceiver
 from heathertack.controllers._lease_timings import LeaseTimings
 from heathertack.controllers._leaving_targets import apply_leaving_targets
 from heathertack.messages import (
     BundlePush,
+    EvacuatedTargets,
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
@@ -66,6 +70,12 @@
     versions: TargetVersions
 
 
+class EvacuationsReceived(NamedTuple):
+    """A leader named the evacuated failure domains and their targets."""
+
+    evacuated: EvacuatedTargets
+
+
 class LeaderHintReceived(NamedTuple):
     """A leader hint was received; it is empty if the sender has no leader."""
 
@@ -81,6 +91,7 @@
     | ReportedStateChanged
     | LeaseGrantReceived
     | TargetVersionsReceived
+    | EvacuationsReceived
     | LeaderHintReceived
     | LeavingTargetsChanged
 )
@@ -116,6 +127,8 @@
     READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL, DRAIN, LEAVING_TARGETS)
     WRITES: ClassVar[tuple[Section[Any], ...]] = (
         BUNDLE,
+        EVACUATED_DOMAINS,
+        EVACUATED_TARGETS,
         LEASE,
         LISTED_TARGETS,
         MEMBERS,
@@ -146,6 +159,7 @@
         self._versions_term = 0
         #: Targets whose version has arrived since the latest grant.
         self._received_versions: set[str] = set()
+        self._evacuations = EvacuationReceiver()
         board.register(self)
 
     @property
@@ -181,6 +195,9 @@
                 return self._apply_grant(event.grant, now)
             case TargetVersionsReceived():
                 return self._apply_versions(event.versions)
+            case EvacuationsReceived():
+                self._evacuations.receive(event.evacuated, self._term, now)
+                return ()
             case LeaderHintReceived():
                 return self._handle_hint(event.hint, now)
             case LeavingTargetsChanged():
@@ -342,6 +359,7 @@
             )
             self._board.write(self, BUNDLE, view)
         self._apply_tables(grant, received_versions)
+        self._write_evacuations(now)
         lease = self._board.read(LEASE)
         valid_until = max(lease.valid_until, grant.sent_at + grant.duration)
         confirmed_at = max(lease.confirmed_at, grant.sent_at)
@@ -374,6 +392,17 @@
         if grant.is_settled or not grant.is_full:
             self._table = grant.table
 
+    def _write_evacuations(self, now: float) -> None:
+        """Write what the leader said of evacuations before its grant."""
+        self._evacuations.expire(now)
+        found = (
+            (EVACUATED_DOMAINS, self._evacuations.domains),
+            (EVACUATED_TARGETS, self._evacuations.targets),
+        )
+        for section, names in found:
+            if names != self._board.read(section):
+                self._board.write(self, section, names)
+
     def _write_targets(self, listed: Mapping[str, TargetRecord]) -> None:
         """Write the listed targets, and with the states that they tell themselves."""
         leaving = self._board.read(LEAVING_TARGETS)
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -7,6 +7,9 @@
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
+    EVACUATED_DOMAINS,
+    EVACUATED_TARGETS,
+    LEAVING_TARGETS,
     MEMBERS,
     TARGET_HEALTH,
     TARGET_LIMITS,
@@ -18,6 +21,11 @@
 )
 from heathertack.controllers._actions import SendToPeer
 from heathertack.controllers._admission import partition_targets
+from heathertack.controllers._evacuated_targets import (
+    deny_evacuated,
+    exclude_evacuated,
+    is_evacuated,
+)
 from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._local_target_chooser import LocalTargetChooser
 from heathertack.controllers._placement_types import (
@@ -25,6 +33,7 @@
     LimitObserved,
     OwnerReplied,
     PlacementAction,
+    PlacementDenied,
     PlacementDue,
     PlacementEnded,
     PlacementEvent,
@@ -117,6 +126,9 @@
     """
 
     READS: ClassVar[tuple[Section[Any], ...]] = (
+        EVACUATED_DOMAINS,
+        EVACUATED_TARGETS,
+        LEAVING_TARGETS,
         MEMBERS,
         TARGETS,
         TARGET_HEALTH,
@@ -173,10 +185,10 @@
     def _request_target(
         self, request: ReservationRequest, now: float
     ) -> tuple[PlacementAction, ...]:
-        denial = deny_paused(self._board, request, now)
+        denial = self._deny(request, now)
         if denial is not None:
             return (denial,)
-        groups = self._list_groups(request, now)
+        groups = self._list_groups(exclude_evacuated(self._board, request), now)
         if not groups:
             return self._choose_locally(request._replace(group=""), now)
         self._group_counter += 1
@@ -191,6 +203,11 @@
         self._placements[request.generation_id] = placement
         return self._ask_owner(owner, request, now)
 
+    def _deny(self, request: ReservationRequest, now: float) -> PlacementDenied | None:
+        """Return the denial of a request that no target may get now."""
+        evacuated = deny_evacuated(self._board, request)
+        return evacuated or deny_paused(self._board, request, now)
+
     def _ask_owner(
         self, owner: str, request: ReservationRequest, now: float
     ) -> tuple[SendToPeer, ...]:
@@ -200,7 +217,8 @@
             groups = partition_targets(self._board.read(TARGETS))
             limits = self._sharing.build(owner, groups.get(request.group, ()), now)
         pauses = self._tell_pauses(owner, request.service, now)
-        return (*limits, *pauses, SendToPeer(owner, request))
+        wanted = exclude_evacuated(self._board, request)
+        return (*limits, *pauses, SendToPeer(owner, wanted))
 
     def _tell_pauses(
         self, owner: str, service: str, now: float
@@ -271,7 +289,7 @@
         self, request: ReservationRequest, now: float
     ) -> tuple[PlacementAction, ...]:
         """Choose a target without an admission owner."""
-        denial = deny_paused(self._board, request, now)
+        denial = self._deny(request, now)
         if denial is not None:
             return (denial,)
         counts = Counter(p.target for p in self._placements.values())
@@ -305,7 +323,7 @@
             return _release_unused_grant(event) if is_other else ()
         match reply:
             case ReservationGrant():
-                if find_pause(self._board, reply.target, now):
+                if self._must_not_use(reply.target, now):
                     return self._give_back(placement, event, now)
                 group = reply.group or placement.request.group
                 self._placements[reply.generation_id] = placement._replace(
@@ -335,6 +353,11 @@
             case _:
                 assert_never(reply)
 
+    def _must_not_use(self, target: str, now: float) -> bool:
+        """Return whether an owner assigned a target that must get no request now."""
+        is_paused = find_pause(self._board, target, now) > 0.0
+        return is_paused or is_evacuated(self._board, target)
+
     def _handle_refusal(
         self, placement: _Placement, refusal: ReservationRefusal, now: float
     ) -> tuple[PlacementAction, ...]:
@@ -433,6 +456,7 @@
 
     def _tick(self, now: float) -> tuple[PlacementAction, ...]:
         actions: list[PlacementAction] = []
+        actions.extend(self._apply_evacuations(now))
         actions.extend(self._apply_pauses(now))
         for placement in tuple(self._placements.values()):
             if not placement.target and now >= placement.next_send:
@@ -443,6 +467,19 @@
             actions.extend(self._report_progress())
         return tuple(actions)
 
+    def _apply_evacuations(self, now: float) -> tuple[PlacementAction, ...]:
+        """Deny the waiting requests of services that are evacuated as a whole."""
+        if not self._board.read(EVACUATED_TARGETS):
+            return ()
+        actions: list[PlacementAction] = []
+        for placement in tuple(self._placements.values()):
+            if not placement.target:
+                denial = deny_evacuated(self._board, placement.request)
+                if denial is not None:
+                    actions.extend(self._cancel(denial.generation_id, now))
+                    actions.append(denial)
+        return tuple(actions)
+
     def _apply_pauses(self, now: float) -> tuple[PlacementAction, ...]:
         """Tell owners of new pauses, and deny requests that have no target left."""
         pauses = self._board.read(TARGET_PAUSES)
@@ -469,9 +506,9 @@
     def _give_back(
         self, placement: _Placement, grant: OwnerReplied, now: float
     ) -> tuple[PlacementAction, ...]:
-        """Give back a paused target that the owner assigned.
+        """Give back a paused or evacuated target that the owner assigned.
 
-        The owner is asked again at once if it may not have known of the pause, and
+        The owner is asked again at once if it may not have known of that, and
         with the next resending if it was told and has not heeded it.
         """
         released = _release_unused_grant(grant)
@@ -489,7 +526,7 @@
     ) -> tuple[PlacementAction, ...]:
         """Request another target instead of a paused one, or deny the request."""
         request = placement.request
-        denial = deny_paused(self._board, request, now)
+        denial = self._deny(request, now)
         if denial is not None:
             return (*self._cancel(request.generation_id, now), denial)
         if not placement.owner:
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,6 +1,7 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
+from heathertack.messages._evacuations import EvacuatedTargets
 from heathertack.messages._frames import build_frames, join_frames
 from heathertack.messages._peer import (
     PEER_CODEC,
@@ -57,6 +58,7 @@
     "ControlReply",
     "ControlRequest",
     "ControlStatus",
+    "EvacuatedTargets",
     "JoinRequest",
     "LeaderHint",
     "LeaseGrant",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -13,6 +13,7 @@
     VoteResponse,
 )
 from heathertack.messages._codec import MessageCodec
+from heathertack.messages._evacuations import EvacuatedTargets
 from heathertack.messages._reservations import (
     ReservationAnnounce,
     ReservationBlame,
@@ -227,6 +228,7 @@
     | UnreachableServices
     | RelayedPause
     | TargetRejectionRates
+    | EvacuatedTargets
 )
 
 #: Codec of the messages between instances.
@@ -263,5 +265,6 @@
         UnreachableServices,
         RelayedPause,
         TargetRejectionRates,
+        EvacuatedTargets,
     )
 )
