Keep all kinds of requests from evacuated targets

Cause: continuations from backups, relays, retries of plain calls and resumptions of generations do not look at the state of a target, or treat a leaving one as usable; streams move off every target that is published as leaving. Change: these paths check for evacuation when they send. A stream stays at an evacuated target that keeps running, and moves if the target itself leaves; such targets are polled for that as before. Changes and services without targets are logged, and heathertack_evacuated_targets counts the targets.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from returns.result import Failure
 
-from heathertack.blackboard import LEASE
+from heathertack.blackboard import LEASE, Blackboard
 from heathertack.controllers import (
     CallController,
     CallEvent,
@@ -29,6 +29,7 @@
     TargetResponded,
     TargetUnreachable,
     find_usable_targets,
+    is_evacuated,
 )
 from heathertack.messages import TargetRecord
 from heathertack.policy import RetryBudget
@@ -133,20 +134,31 @@
 
 
 class _TargetRotation:
-    """Iterates over the targets of a call, using each of them once."""
+    """Iterates over the targets of a call, using each of them once.
 
-    def __init__(self, targets: tuple[TargetRecord, ...], start: int) -> None:
+    A call may wait for its claim, and for answers, while a domain is evacuated.
+    """
+
+    def __init__(
+        self, board: Blackboard, targets: tuple[TargetRecord, ...], start: int
+    ) -> None:
         start = start % len(targets) if targets else 0
-        self._remaining = list(targets[start:] + targets[:start])
+        self._board = board
+        self._targets = list(targets[start:] + targets[:start])
 
     @property
     def has_more(self) -> bool:
-        """Whether there are targets that were not used yet."""
+        """Whether there are targets that were not used yet and may be."""
         return bool(self._remaining)
 
+    @property
+    def _remaining(self) -> list[TargetRecord]:
+        return [t for t in self._targets if not is_evacuated(self._board, t.name)]
+
     def take(self) -> TargetRecord | None:
         """Return the next target, ``None`` if all were used."""
-        return self._remaining.pop(0) if self._remaining else None
+        self._targets = self._remaining
+        return self._targets.pop(0) if self._targets else None
 
 
 class CallRunner:
@@ -293,7 +305,7 @@
         now = _clock.monotonic()
         targets = find_usable_targets(self._instance.board, spec.service, now)
         self._rotation_count += 1
-        return _TargetRotation(targets, self._rotation_count)
+        return _TargetRotation(self._instance.board, targets, self._rotation_count)
 
     def _record_failure(self, target: TargetRecord) -> None:
         event = TargetFailed(target.name)
--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -47,6 +47,7 @@
     TargetSucceeded,
     TokensGenerated,
     TokensReceived,
+    is_evacuated,
     stall_timeout,
 )
 from heathertack.messages import ReservationRequest
@@ -281,6 +282,9 @@
         )
 
     def _resume_link(self, action: ResumeStream) -> None:
+        if self._is_evacuated(action.target):
+            self._refuse_link(action.link, action.target)
+            return
         self._instance.metrics.resumes.inc()
         self._instance.explanations.add(
             self._id, "resumed", f"{action.target} from {action.offset}"
@@ -293,6 +297,15 @@
             self._read_link(action.link, pending_response)
         )
 
+    def _is_evacuated(self, target: str) -> bool:
+        return is_evacuated(self._instance.board, target)
+
+    def _refuse_link(self, link: int, target: str) -> None:
+        """Treat a target that must get no requests as one that lost the generation."""
+        detail = f"{target} is evacuated"
+        closed = LinkClosed(link, LinkFailure.UNKNOWN_GENERATION, detail)
+        self._spawn(self._events.put((closed,)))
+
     def _find_address(self, target: str) -> str:
         record = self._instance.board.read(TARGETS).get(target)
         return record.address if record is not None else "0.0.0.0:0"
@@ -419,7 +432,13 @@
         )
 
     async def _report_loss(self, action: ReportLoss) -> None:
-        """Commit the loss of a target before the request is retried."""
+        """Commit the loss of a target before the request is retried.
+
+        The request has not caused the loss of a target that is evacuated.
+        """
+        if self._is_evacuated(action.target):
+            await self._events.put((LossReportCompleted(action.attempt, 0),))
+            return
         self._instance.metrics.target_losses.inc()
         self._instance.explanations.add(self._id, "target_lost", action.target)
         reservation = self._spec.reservation
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -12,6 +12,7 @@
     BUNDLE,
     CONTROL,
     DRAIN,
+    EVACUATED_TARGETS,
     LEASE,
     LEAVING_TARGETS,
     LISTED_TARGETS,
@@ -42,6 +43,7 @@
     ControlLogEvent,
     CopyDropped,
     DrainController,
+    EvacuationsReceived,
     InstanceIdentity,
     JoinReceived,
     LeaderHintReceived,
@@ -106,6 +108,7 @@
     ControlReply,
     ControlRequest,
     ControlStatus,
+    EvacuatedTargets,
     JoinRequest,
     LeaderHint,
     LeaseGrant,
@@ -140,6 +143,7 @@
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
+from heathertackd._evacuation_log import EvacuationLog
 from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
@@ -253,6 +257,7 @@
         self.quarantine = QuarantineController(board)
         self._logged_causes: tuple[CrashCause, ...] = ()
         self._pushes = PushLog(logger)
+        self._evacuations = EvacuationLog(board, logger, self.metrics)
         self._logged_may_lead = False
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
@@ -357,6 +362,7 @@
                 | LeaderHint()
                 | TargetReport()
                 | TargetVersions()
+                | EvacuatedTargets()
             ):
                 self._handle_lease_message(sender, message, now)
             case ControlRequest():
@@ -595,6 +601,7 @@
         self._log_quarantine()
         self._log_may_lead(now)
         self._pushes.flush(now)
+        self._evacuations.update()
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
     def _apply_leaving_targets(self, changed: Iterable[str], source: str) -> None:
@@ -612,7 +619,8 @@
     def _report_leaving_target(self, target: str) -> None:
         """Report a leaving target to the leader, if its table may call it live."""
         record = self.board.read(LISTED_TARGETS).get(target)
-        if record is not None and record.state is not TargetState.LIVE:
+        is_listed_live = record is None or record.state is TargetState.LIVE
+        if not is_listed_live and target not in self.board.read(EVACUATED_TARGETS):
             return
         leader = self._find_leader()
         if leader:
@@ -677,7 +685,12 @@
         self,
         sender: str,
         message: (
-            LeaseRequest | LeaseGrant | LeaderHint | TargetReport | TargetVersions
+            LeaseRequest
+            | LeaseGrant
+            | LeaderHint
+            | TargetReport
+            | TargetVersions
+            | EvacuatedTargets
         ),
         now: float,
     ) -> None:
@@ -692,6 +705,9 @@
             case TargetVersions():
                 versions = TargetVersionsReceived(message)
                 self._carry_out(self.lease_holder.handle(versions, now))
+            case EvacuatedTargets():
+                evacuated = EvacuationsReceived(message)
+                self._carry_out(self.lease_holder.handle(evacuated, now))
             case TargetReport():
                 if self.grantor is not None:
                     report = TargetLeavingReported(message.target)
--- a/packages/heathertackd/src/heathertackd/_leaving_watcher.py
+++ b/packages/heathertackd/src/heathertackd/_leaving_watcher.py
@@ -7,8 +7,13 @@
 
 from returns.result import Failure, Result
 
-from heathertack.controllers import TargetReported, WatchPlan, find_pause
-from heathertack.messages import TargetRecord, TargetState
+from heathertack.controllers import (
+    TargetReported,
+    WatchPlan,
+    find_pause,
+    keeps_running,
+)
+from heathertack.messages import TargetRecord
 from heathertackd import _clock
 from heathertackd._instance import Instance
 
@@ -62,7 +67,7 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            engines = [t for t in self._plan.list_watched() if _is_live(t)]
+            engines = [t for t in self._plan.list_watched() if self._keeps_running(t)]
             engines.extend(self._list_contradicted())
             allowed = [engine for engine in engines if self._may_poll(engine)]
             results = await asyncio.gather(
@@ -82,6 +87,9 @@
         self._next_contradictions_at = now + _CONTRADICTION_INTERVAL_SECONDS
         return self._instance.leaving_targets.list_contradicted(now)
 
+    def _keeps_running(self, engine: TargetRecord) -> bool:
+        return keeps_running(self._instance.board, engine.name)
+
     def _may_poll(self, engine: TargetRecord) -> bool:
         return not find_pause(self._instance.board, engine.name, _clock.monotonic())
 
@@ -103,7 +111,3 @@
                 requested_at,
             )
         )
-
-
-def _is_live(target: TargetRecord) -> bool:
-    return target.state is TargetState.LIVE
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -67,6 +67,11 @@
             "Targets that bound the requests that they turn away",
             registry=self._registry,
         )
+        self.evacuated_targets = Gauge(
+            "heathertack_evacuated_targets",
+            "Targets that run and get no requests since their domain is evacuated",
+            registry=self._registry,
+        )
         self.limited_targets = Gauge(
             "heathertack_limited_targets",
             "Targets that limit the rate of their requests",
--- a/packages/heathertackd/src/heathertackd/_target_relay.py
+++ b/packages/heathertackd/src/heathertackd/_target_relay.py
@@ -16,6 +16,7 @@
     RequestClosed,
     RequestOpened,
     find_pause,
+    is_evacuated,
 )
 from heathertack.messages import TargetState
 from heathertackd import _clock
@@ -118,7 +119,7 @@
             return RelayOutcome.BUSY, None
         if links.must_relay(address) or not self._is_listed(address):
             return RelayOutcome.CUT, None
-        if self._is_paused(address, now):
+        if self._must_not_use(address, now):
             return RelayOutcome.BUSY, None
         self._count += 1
         try:
@@ -204,11 +205,16 @@
             for target in self._instance.board.read(TARGETS).values()
         )
 
-    def _is_paused(self, address: str, now: float) -> bool:
+    def _must_not_use(self, address: str, now: float) -> bool:
+        """Return whether a target must get no requests now.
+
+        The instance that asks may be cut off from the leader and not know it.
+        """
         board = self._instance.board
+        names = [t.name for t in board.read(TARGETS).values() if t.address == address]
         return any(
-            target.address == address and find_pause(board, target.name, now) > 0.0
-            for target in board.read(TARGETS).values()
+            find_pause(board, name, now) > 0.0 or is_evacuated(board, name)
+            for name in names
         )
 
     def _log(
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -16,6 +16,7 @@
     LoadReportMissed,
     LoadReportReceived,
     PlatformTargetsListed,
+    is_evacuated,
 )
 from heathertack.decoding import (
     MAX_TOKENS,
@@ -198,10 +199,12 @@
             self._instance.logger.warning("target_unreadable", detail=str(error))
 
     def _log_changes(self, targets: tuple[ListedTarget, ...]) -> None:
-        known = self._instance.board.read(TARGETS)
+        board = self._instance.board
+        known = board.read(TARGETS)
         for target, version in targets:
             before = known.get(target.name)
-            if before is None or before.state is not target.state:
+            is_known = before is not None and before.state is target.state
+            if not is_known and not is_evacuated(board, target.name):
                 self._instance.logger.info(
                     "target_listed",
                     target=target.name,
--- a/packages/heathertackd/src/heathertackd/forwarding/_kv_cache.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_kv_cache.py
@@ -7,7 +7,7 @@
 from returns.result import Result
 
 from heathertack.blackboard import TARGETS, Blackboard
-from heathertack.controllers import TargetChosen
+from heathertack.controllers import TargetChosen, keeps_running
 from heathertack.messages import TargetState
 
 
@@ -65,11 +65,10 @@
 
     A run that loses only its backup does not move while its target is live: the
     copies of all runs share the network links, and moving each of those runs would
-    delay the copies of the others.
+    delay the copies of the others. Nor does one whose target is evacuated, which runs
+    on.
     """
-    targets = board.read(TARGETS)
-    backup = targets.get(placement.backup)
+    backup = board.read(TARGETS).get(placement.backup)
     if backup is not None and backup.state is TargetState.LIVE:
         return False
-    target = targets.get(placement.target)
-    return target is None or target.state is not TargetState.LIVE
+    return not keeps_running(board, placement.target)
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -29,6 +29,8 @@
     find_pause,
     find_service_pause,
     find_version,
+    is_evacuated,
+    keeps_running,
     list_leaving_targets,
 )
 from heathertack.messages import ReservationOutcome, TargetRecord, TargetState
@@ -252,7 +254,9 @@
                 reason=reason,
             )
         while True:
-            await self._wait_for_copy(continuation)
+            has_waited = await self._wait_for_copy(continuation)
+            if has_waited and self._is_moved_to_evacuated(continuation):
+                return self._abort_response("the target of the moved run is evacuated")
             decision = await self._find_placement(continuation)
             if isinstance(decision, PlacementDenied):
                 return self._respond_denied(decision)
@@ -272,12 +276,28 @@
             elif not self._can_retry(result):
                 return self._respond_failed(result)
 
-    async def _wait_for_copy(self, continuation: Continuation | None) -> None:
-        """Wait until the target that holds a copy of the KV cache wants requests."""
+    async def _wait_for_copy(self, continuation: Continuation | None) -> bool:
+        """Wait until the target that holds a copy of the KV cache wants requests.
+
+        Returns whether there was a wait.
+        """
         if continuation is None:
-            return
+            return False
+        has_waited = False
         while pause := self._find_pause(continuation.target):
+            has_waited = True
             await asyncio.sleep(pause)
+        return has_waited
+
+    def _is_moved_to_evacuated(self, continuation: Continuation | None) -> bool:
+        """Return whether a run was moved to a target that has been evacuated since.
+
+        The stream goes on there at once, within the time that an evacuation may take,
+        but not after a pause, which has no such bound.
+        """
+        if continuation is None or continuation.placement is None:
+            return False
+        return is_evacuated(self._instance.board, continuation.target)
 
     def _find_pause(self, target: str) -> float:
         """Return for how long a target must get no requests, seconds."""
@@ -654,13 +674,18 @@
                 return moved
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
         backup = self._placement.backup if self._placement is not None else ""
-        if backup and not self._version.accepts(backup):
+        if backup and not self._may_continue_at(backup):
             backup = ""
         self._record_failure(placement, error)
         if self._stream.count or backup:
             return Continuation(backup)
         return error
 
+    def _may_continue_at(self, backup: str) -> bool:
+        """Return whether the stream may continue from the backup at a target."""
+        is_usable = not is_evacuated(self._instance.board, backup)
+        return is_usable and self._version.accepts(backup)
+
     async def _can_continue(
         self, broken: TargetChosen, continuation: Continuation
     ) -> bool:
@@ -806,7 +831,7 @@
         )
         self._excluded_targets = (*self._excluded_targets, placement.target)
         record = self._targets().get(placement.target)
-        is_live = record is not None and record.state is TargetState.LIVE
+        is_live = keeps_running(self._instance.board, placement.target)
         outcome = _OUTCOMES[error.failure]
         if record is not None and self._is_only_link_down(record, error):
             outcome = ReservationOutcome.CANCELLED
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -17,6 +17,7 @@
     accepts_new_work,
     can_copy,
     find_pause,
+    keeps_running,
 )
 from heathertack.messages import (
     ReservationOutcome,
@@ -148,9 +149,9 @@
                 return None
             if self._rejects_destination(old.target, decision.target):
                 return None
-            if decision.backup and self._is_leaving(decision.backup):
+            if decision.backup and not self._accepts_new_work(decision.backup):
                 decision = decision._replace(backup="")
-            if not decision.backup and not self._is_leaving(old.target):
+            if not decision.backup and self._keeps_running(old.target):
                 detail = "no target has room for a backup"
                 self._log("stream_not_moved", source=old.target, detail=detail)
                 return None
@@ -215,7 +216,7 @@
 
         The admission owner that chose it may not know that.
         """
-        if accepts_new_work(self._instance.board, destination):
+        if self._accepts_new_work(destination):
             return False
         self._outcome = ReservationOutcome.REJECTED
         self._next_start_at = _clock.monotonic() + _DESTINATION_FULL_RETRY_SECONDS
@@ -248,9 +249,11 @@
             detail=failure.detail,
         )
 
-    def _is_leaving(self, target: str) -> bool:
-        record = self._instance.board.read(TARGETS).get(target)
-        return record is None or record.state is not TargetState.LIVE
+    def _accepts_new_work(self, target: str) -> bool:
+        return accepts_new_work(self._instance.board, target)
+
+    def _keeps_running(self, target: str) -> bool:
+        return keeps_running(self._instance.board, target)
 
     async def _discard(self, name: str) -> None:
         while pause := find_pause(self._instance.board, name, _clock.monotonic()):
--- a/packages/heathertackd/src/heathertackd/tests/test_target_relay.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_target_relay.py
@@ -20,6 +20,7 @@
     TargetLinkController,
 )
 from heathertack.messages import (
+    EvacuatedTargets,
     MemberRecord,
     MemberState,
     TargetRecord,
@@ -60,6 +61,17 @@
     return TargetRecord("t1", "guide", address, "a", TargetState.LIVE)
 
 
+def evacuate_all(relay: Instance) -> None:
+    """Publish that the failure domain of the targets is evacuated."""
+    targets = tuple(
+        target._replace(state=TargetState.LEAVING)
+        for target in relay.board.read(TARGETS).values()
+    )
+    names = tuple(target.name for target in targets)
+    relay.receive(relay.name, EvacuatedTargets(1, names, ("a",)))
+    relay.receive(relay.name, grant(relay, None, targets, 2))
+
+
 class _Tables:
     """Writes the tables of members and targets to a blackboard."""
 
@@ -276,13 +288,17 @@
 class TestRefusals:
     """Cases in which an instance does not relay."""
 
-    @pytest.mark.parametrize("case", ["leaving", "paused", "unlisted", "cut"])
+    @pytest.mark.parametrize(
+        "case", ["leaving", "paused", "evacuated", "unlisted", "cut"]
+    )
     async def test_instance_does_not_relay(self, case: str) -> None:
         is_listed = case != "unlisted"
         async with run_relay(serve_answer(WHOLE), is_listed=is_listed) as system:
             relay, now = system.relay, monotonic()
             if case == "leaving":
                 relay.drain.handle(LeavingStarted(), now)
+            if case == "evacuated":
+                evacuate_all(relay)
             if case == "paused":
                 relay.pauses.handle(PauseRequested("t1", 5.0), now)
             if case == "cut":
