--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,6 +1,7 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
+from heathertack.messages._evacuated_targets import EvacuatedTargets
 from heathertack.messages._evacuations import (
     EvacuationReply,
     EvacuationRequest,
@@ -62,6 +63,7 @@
     "ControlReply",
     "ControlRequest",
     "ControlStatus",
+    "EvacuatedTargets",
     "EvacuationReply",
     "EvacuationRequest",
     "EvacuationStatus",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -13,6 +13,7 @@
     VoteResponse,
 )
 from heathertack.messages._codec import MessageCodec
+from heathertack.messages._evacuated_targets import EvacuatedTargets
 from heathertack.messages._evacuations import EvacuationReply, EvacuationRequest
 from heathertack.messages._reservations import (
     ReservationAnnounce,
@@ -230,6 +231,7 @@
     | TargetRejectionRates
     | EvacuationRequest
     | EvacuationReply
+    | EvacuatedTargets
 )
 
 #: Codec of the messages between instances.
@@ -268,5 +270,6 @@
         TargetRejectionRates,
         EvacuationRequest,
         EvacuationReply,
+        EvacuatedTargets,
     )
 )
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -12,6 +12,7 @@
     BUNDLE,
     CONTROL,
     DRAIN,
+    EVACUATED_TARGETS,
     LEASE,
     LEAVING_TARGETS,
     LISTED_TARGETS,
@@ -43,6 +44,7 @@
     CopyDropped,
     DrainController,
     EvacuationReceived,
+    EvacuationsReceived,
     InstanceIdentity,
     JoinReceived,
     LeaderHintReceived,
@@ -107,6 +109,7 @@
     ControlReply,
     ControlRequest,
     ControlStatus,
+    EvacuatedTargets,
     EvacuationReply,
     EvacuationRequest,
     EvacuationStatus,
@@ -145,6 +148,7 @@
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
 from heathertackd._evacuation_client import EvacuationClient
+from heathertackd._evacuation_log import EvacuationLog
 from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
@@ -258,6 +262,7 @@
         self.quarantine = QuarantineController(board)
         self._logged_causes: tuple[CrashCause, ...] = ()
         self._pushes = PushLog(logger)
+        self._evacuations = EvacuationLog(board, logger, self.metrics)
         self._logged_may_lead = False
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
@@ -363,6 +368,7 @@
                 | LeaderHint()
                 | TargetReport()
                 | TargetVersions()
+                | EvacuatedTargets()
             ):
                 self._handle_lease_message(sender, message, now)
             case ControlRequest():
@@ -605,6 +611,7 @@
         self._log_quarantine()
         self._log_may_lead(now)
         self._pushes.flush(now)
+        self._evacuations.update()
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
         evacuated = self.board.read(CONTROL).evacuated
         self.metrics.evacuated_domains.set(len(evacuated))
@@ -624,7 +631,8 @@
     def _report_leaving_target(self, target: str) -> None:
         """Report a leaving target to the leader, if its table may call it live."""
         record = self.board.read(LISTED_TARGETS).get(target)
-        if record is not None and record.state is not TargetState.LIVE:
+        is_listed_live = record is None or record.state is TargetState.LIVE
+        if not is_listed_live and target not in self.board.read(EVACUATED_TARGETS):
             return
         leader = self._find_leader()
         if leader:
@@ -689,7 +697,12 @@
         self,
         sender: str,
         message: (
-            LeaseRequest | LeaseGrant | LeaderHint | TargetReport | TargetVersions
+            LeaseRequest
+            | LeaseGrant
+            | LeaderHint
+            | TargetReport
+            | TargetVersions
+            | EvacuatedTargets
         ),
         now: float,
     ) -> None:
@@ -704,6 +717,9 @@
             case TargetVersions():
                 versions = TargetVersionsReceived(message)
                 self._carry_out(self.lease_holder.handle(versions, now))
+            case EvacuatedTargets():
+                evacuated = EvacuationsReceived(message)
+                self._carry_out(self.lease_holder.handle(evacuated, now))
             case TargetReport():
                 if self.grantor is not None:
                     report = TargetLeavingReported(message.target)
