Report all errors, doubtful entries and differences of a bundle

Cause: heathertack bundle check named the first error only, and took bundles for valid whose entries nothing can match. Its exit codes are 0 clean, 1 errors, 2 warnings only.

--- a/packages/heathertack-cli/src/heathertack_cli/_local.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_local.py
@@ -13,11 +13,18 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from returns.result import Failure, Result, Success
 
-from heathertack.bundle import Bundle, compare_bundles, parse_bundle
+from heathertack.bundle import (
+    Bundle,
+    BundleChange,
+    BundleReport,
+    build_report,
+    compare_bundles,
+    parse_bundle,
+)
 from heathertack.schema import SchemaError
 from heathertack.settings import parse_settings
 from heathertack.signatures import sign_bundle
-from heathertack_cli._usage import ExitCode
+from heathertack_cli._usage import CheckCode, ExitCode
 
 _CALLER_KEY_BYTES = 24
 
@@ -26,7 +33,11 @@
     """What a command prints, and its exit code."""
 
     def __init__(
-        self, code: ExitCode, document: Any = None, error: str = "", text: str = ""
+        self,
+        code: ExitCode | CheckCode,
+        document: Any = None,
+        error: str = "",
+        text: str = "",
     ) -> None:
         self.code = code
         self.document = document
@@ -79,8 +90,18 @@
 
 
 def check_bundle(options: dict[str, Any]) -> CommandOutput:
-    """Check a bundle."""
-    return _check_output(read_bundle(options["FILE"]))
+    """Check a bundle, and compare it with the one in force."""
+    path = options["FILE"]
+    current: Bundle | None = None
+    text = read_file(path)
+    if isinstance(text, Failure):
+        return _report_output(BundleReport((text.failure(),)))
+    if options["--against"]:
+        in_force = read_bundle(options["--against"])
+        if isinstance(in_force, Failure):
+            return _report_output(BundleReport((in_force.failure(),)))
+        current = in_force.unwrap()
+    return _report_output(build_report(path, text.unwrap(), current))
 
 
 def sign_bundle_file(options: dict[str, Any]) -> CommandOutput:
@@ -115,14 +136,32 @@
             return _input_error(result.failure())
         bundles.append(result.unwrap())
     changes = compare_bundles(bundles[0], bundles[1])
-    lines = [
-        f"$.{'.'.join(change.path)}: {change.before!r} -> {change.after!r}"
-        for change in changes
-    ]
+    lines = [_describe_change(change) for change in changes]
     document = [change._asdict() for change in changes]
     return CommandOutput(ExitCode.DONE, document, text="\n".join(lines))
 
 
+def _describe_change(change: BundleChange) -> str:
+    return f"$.{'.'.join(change.path)}: {change.before!r} -> {change.after!r}"
+
+
+def _report_output(report: BundleReport) -> CommandOutput:
+    code = CheckCode.ERRORS if report.errors else CheckCode.CLEAN
+    if report.warnings and not report.errors:
+        code = CheckCode.WARNINGS
+    lines = [f"warning: {warning}" for warning in report.warnings]
+    lines += [f"change: {_describe_change(change)}" for change in report.changes]
+    if code is CheckCode.CLEAN:
+        lines.append("valid")
+    document = {
+        "errors": [error._asdict() for error in report.errors],
+        "warnings": [warning._asdict() for warning in report.warnings],
+        "changes": [change._asdict() for change in report.changes],
+    }
+    errors = "\n".join(str(error) for error in report.errors)
+    return CommandOutput(code, document, errors, "\n".join(lines))
+
+
 def _input_error(error: SchemaError) -> CommandOutput:
     return CommandOutput(ExitCode.INVALID_INPUT, error=str(error))
 
--- a/packages/heathertack-cli/src/heathertack_cli/_usage.py
+++ b/packages/heathertack-cli/src/heathertack_cli/_usage.py
@@ -7,7 +7,7 @@
 Usage:
   heathertack keys new (operator | instance | caller) [options]
   heathertack settings check FILE [options]
-  heathertack bundle check FILE [options]
+  heathertack bundle check FILE [--against=CURRENT] [options]
   heathertack bundle sign FILE [options]
   heathertack bundle diff OLD NEW [options]
   heathertack bundle apply FILE [options]
@@ -32,6 +32,7 @@
   --output=FILE      file for the signed bundle
   --timeout=SECONDS  maximum wait for a response [default: 15]
   --json             print JSON
+  --against=CURRENT  file with the bundle in force, to list the differences from it
 
 Exit codes:
   0  done
@@ -39,6 +40,11 @@
   2  invalid arguments, or a file that can't be used
   3  no instance responded, or none is leader; the command may still take effect
   4  accepted, but not yet known to be in force everywhere
+
+Exit codes of bundle check:
+  0  clean
+  1  errors: the bundle would be refused, or a file can't be read
+  2  warnings only
 """
 
 
@@ -50,3 +56,11 @@
     INVALID_INPUT = 2
     UNAVAILABLE = 3
     NOT_IN_FORCE = 4
+
+
+class CheckCode(IntEnum):
+    """Exit codes of the check of a bundle."""
+
+    CLEAN = 0
+    ERRORS = 1
+    WARNINGS = 2
--- a/packages/heathertack/src/heathertack/bundle/__init__.py
+++ b/packages/heathertack/src/heathertack/bundle/__init__.py
@@ -23,6 +23,7 @@
 )
 from heathertack.bundle._parse import BundleError, check_bundle, parse_bundle
 from heathertack.bundle._queries import account_keys, find_route, index_accounts
+from heathertack.bundle._report import BundleReport, build_report
 from heathertack.bundle._signed import SignedBundle
 
 __all__ = [
@@ -30,6 +31,7 @@
     "Bundle",
     "BundleChange",
     "BundleError",
+    "BundleReport",
     "EngineConfiguration",
     "ForwardingRoute",
     "PlainRoute",
@@ -38,6 +40,7 @@
     "SignedBundle",
     "account_keys",
     "apply_changes",
+    "build_report",
     "canonical_text",
     "check_bundle",
     "compare_bundles",
--- a/packages/heathertack/src/heathertack/bundle/_parse.py
+++ b/packages/heathertack/src/heathertack/bundle/_parse.py
@@ -35,20 +35,26 @@
     Result[Bundle, BundleError]
         The checked bundle, or the first error.
     """
+    read = read_bundle(file, text)
+    return read.bind(lambda bundle: check_bundle(file, bundle))
+
+
+def read_bundle(file: str, text: str) -> Result[Bundle, BundleError]:
+    """Parse a bundle and check the types of its fields, but not their values."""
     parsed = parse_document(file, text)
-    typed = parsed.bind(lambda value: convert_document(file, value, Bundle))
-    return typed.bind(lambda bundle: check_bundle(file, bundle))
+    return parsed.bind(lambda value: convert_document(file, value, Bundle))
 
 
 def check_bundle(file: str, bundle: Bundle) -> Result[Bundle, BundleError]:
     """Check the values of a bundle whose field types were checked before."""
-    error = next(_find_errors(bundle), None)
+    error = next(find_errors(bundle), None)
     if error is not None:
         return Failure(error._replace(file=file))
     return Success(bundle)
 
 
-def _find_errors(bundle: Bundle) -> Iterator[BundleError]:
+def find_errors(bundle: Bundle) -> Iterator[BundleError]:
+    """Yield the errors in the values of a bundle, without the name of its file."""
     if bundle["version"] < 1:
         yield _error("$.version", str(bundle["version"]), "a number from 1")
     for name, service in bundle["services"].items():
@@ -56,7 +62,7 @@
     digests: set[str] = set()
     for name, account in bundle["accounts"].items():
         path = f"$.accounts.{name}"
-        for key_path, digest in _list_key_digests(path, account):
+        for key_path, digest in list_key_digests(path, account):
             if len(digest) != _SHA256_HEX_LENGTH:
                 expected = f"{_SHA256_HEX_LENGTH} hexadecimal digits"
                 yield _error(key_path, digest, expected)
@@ -74,9 +80,10 @@
     yield from _find_route_errors(bundle)
 
 
-def _list_key_digests(
+def list_key_digests(
     path: str, account: AccountConfiguration
 ) -> Iterator[tuple[str, str]]:
+    """Yield the path and the SHA-256 of each caller key of a client account."""
     yield f"{path}.key_sha256", account["key_sha256"]
     for number, digest in enumerate(account.get("more_keys_sha256", [])):
         yield f"{path}.more_keys_sha256[{number}]", digest
