Send an evacuation order only 0.1 s after it arrived

Cause: a copy of an order that a link held up reached the leader before the end of its operator's connection, which follows it. Change: the first request to the leader asks for its values only; the second one follows 0.1 s after the order arrived, if the connection is still open.

--- a/packages/heathertackd/src/heathertackd/_evacuation_client.py
+++ b/packages/heathertackd/src/heathertackd/_evacuation_client.py
@@ -22,6 +22,10 @@
 #: lost is harmless: the leader proposes a request once.
 _ATTEMPT_TIMEOUT_SECONDS = 0.3
 _RETRY_INTERVAL_SECONDS = 0.05
+#: Time from the arrival of an order until it is sent with the leader's values. The end
+#: of a connection that was held up follows its request within a round trip; operators
+#: bear a second without an answer.
+_CLOSE_NOTICE_SECONDS = 0.1
 
 Send = Callable[[str, EvacuationRequest], None]
 FindLeader = Callable[[], str]
@@ -51,6 +55,9 @@
         self.leader = ""
         self.is_done = False
         self.is_stale = False
+        #: Time before which the order is not sent with the leader's values, monotonic
+        #: clock, seconds.
+        self.earliest = _clock.monotonic() + _CLOSE_NOTICE_SECONDS
         #: Set when a reply ends the wait.
         self.is_answered = asyncio.Event()
 
@@ -59,8 +66,8 @@
     """Sends evacuation orders to the leader until one is confirmed as committed.
 
     Each order first asks for the values of the leader, and none are kept for the next
-    one: an operator that gave up has closed its connection by the time of the reply, so
-    that an order which reached this instance late goes no further.
+    one: an operator that gave up has closed its connection by the time of the second
+    request, so that an order which reached this instance late goes no further.
 
     Parameters
     ----------
@@ -152,7 +159,9 @@
                 pending.is_answered.clear()
                 self._send(leader, pending.request)
                 await self._wait(pending)
-            if not (pending.is_done or pending.is_stale):
+            if pending.is_stale:
+                await asyncio.sleep(max(pending.earliest - _clock.monotonic(), 0.0))
+            elif not pending.is_done:
                 await asyncio.sleep(_RETRY_INTERVAL_SECONDS)
 
     async def _wait(self, pending: _PendingOrder) -> None:
