Check records for requests to evacuated and to cold targets

Cause: no check tells whether requests reach evacuated targets after the time limit, or whether a cold target gets more than it can take. Change: find_evacuated_requests (EVAC) and find_cold_overloads (FAILBACK) read records that need no logs of the product. Result: 18 cases in test_rules.py, each rule with a record that violates it and one exactly at its bound.

--- a/packages/heathertack-fakes/src/heathertack_fakes/rules/__init__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/rules/__init__.py
@@ -5,16 +5,24 @@
 """
 
 from heathertack_fakes.rules._brittle_engines import find_excess_falls
+from heathertack_fakes.rules._evacuations import (
+    find_cold_overloads,
+    find_evacuated_requests,
+)
 from heathertack_fakes.rules._planned_stops import find_lost_requests
 from heathertack_fakes.rules._records import (
     BrittleTime,
     ClientAttempt,
+    ColdBounds,
+    ColdTime,
     EngineFall,
     EngineWork,
+    Evacuation,
     OutOfTouch,
     Stop,
     StopBounds,
     TargetCut,
+    TargetRequest,
     Violation,
 )
 from heathertack_fakes.rules._requests import (
@@ -27,13 +35,19 @@
 __all__ = [
     "BrittleTime",
     "ClientAttempt",
+    "ColdBounds",
+    "ColdTime",
     "EngineFall",
     "EngineWork",
+    "Evacuation",
     "OutOfTouch",
     "Stop",
     "StopBounds",
     "TargetCut",
+    "TargetRequest",
     "Violation",
+    "find_cold_overloads",
+    "find_evacuated_requests",
     "find_excess_falls",
     "find_lost_requests",
     "find_repeated_runs",
--- a/packages/heathertack-fakes/src/heathertack_fakes/rules/_records.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/rules/_records.py
@@ -100,6 +100,52 @@
     end: float
 
 
+class TargetRequest(NamedTuple):
+    """A request that reached a target, from whichever instance sent it."""
+
+    request_id: str
+    target: str
+    #: Failure domain of the target.
+    domain: str
+    #: Instance that sent it.
+    instance: str
+    #: Time at which it arrived.
+    at: float
+    #: Status of the answer, 0 without one.
+    status: int = 200
+    #: Whether the instance was in touch when it sent it.
+    is_in_touch: bool = True
+
+
+class Evacuation(NamedTuple):
+    """Time in which a failure domain was evacuated by order of an operator."""
+
+    domain: str
+    #: Time at which the order was confirmed.
+    confirmed_at: float
+    #: Time at which it was withdrawn; infinite if it was not.
+    withdrawn_at: float
+
+
+class ColdTime(NamedTuple):
+    """Time in which a target was cold."""
+
+    target: str
+    begin: float
+    end: float
+    #: Requests a second that it handles while it is cold.
+    rate: float
+
+
+class ColdBounds(NamedTuple):
+    """Bounds of the requests that a cold target may get."""
+
+    #: Part of its rate.
+    overshoot: float
+    #: Requests beyond that.
+    slack: float
+
+
 class Violation(NamedTuple):
     """A record that breaks a rule."""
 
--- a/packages/heathertack-fakes/src/heathertack_fakes/tests/test_rules.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/tests/test_rules.py
@@ -5,12 +5,18 @@
 from heathertack_fakes.rules import (
     BrittleTime,
     ClientAttempt,
+    ColdBounds,
+    ColdTime,
     EngineFall,
     EngineWork,
+    Evacuation,
     OutOfTouch,
     Stop,
     StopBounds,
     TargetCut,
+    TargetRequest,
+    find_cold_overloads,
+    find_evacuated_requests,
     find_excess_falls,
     find_lost_requests,
     find_repeated_runs,
@@ -332,3 +338,67 @@
         excused = [OutOfTouch("b", begin, end)]
         violations = find_excess_falls([time], falls(3, rejected=rejected), excused)
         assert bool(violations) is is_broken
+
+
+EVACUATION = Evacuation("zone-a", 100.0, 120.0)
+EVACUATION_TIME = 5.0
+ARRIVAL = TargetRequest("r", "engine-1", "zone-a", "entry-1", 110.0)
+
+
+class TestEvacuations:
+    @pytest.mark.parametrize(
+        ("request_", "is_broken"),
+        [
+            pytest.param(ARRIVAL, True, id="during the evacuation"),
+            pytest.param(ARRIVAL._replace(at=105.0), False, id="at the bound"),
+            pytest.param(ARRIVAL._replace(at=105.01), True, id="after the bound"),
+            pytest.param(ARRIVAL._replace(at=119.99), True, id="before readmission"),
+            pytest.param(ARRIVAL._replace(at=120.0), False, id="at the readmission"),
+            pytest.param(ARRIVAL._replace(domain="zone-b"), False, id="other domain"),
+            pytest.param(ARRIVAL._replace(is_in_touch=False), False, id="no touch"),
+            pytest.param(ARRIVAL._replace(status=421), False, id="wrong target"),
+            pytest.param(ARRIVAL._replace(status=503), True, id="refused"),
+        ],
+    )
+    def test_requests(self, request_: TargetRequest, is_broken: bool) -> None:
+        found = find_evacuated_requests([request_], [EVACUATION], EVACUATION_TIME)
+        assert [violation.rule for violation in found] == ["EVAC"] * is_broken
+
+
+COLD = ColdTime("engine-1", 100.0, 103.0, 10.0)
+#: Allow 20 requests a second to the cold target.
+COLD_BOUNDS = ColdBounds(1.5, 5.0)
+
+
+def arrivals(number: int, begin: float, **values: object) -> list[TargetRequest]:
+    """Return requests that are spread over less than a second."""
+    base = ARRIVAL._replace(**values)  # type: ignore[arg-type]
+    return [base._replace(at=begin + 0.9 * n / number) for n in range(number)]
+
+
+class TestColdTargets:
+    @pytest.mark.parametrize(
+        ("requests", "is_broken"),
+        [
+            pytest.param(arrivals(20, 101.0), False, id="at the bound"),
+            pytest.param(arrivals(21, 101.0), True, id="one more"),
+            pytest.param(arrivals(21, 101.5), True, id="across whole seconds"),
+            pytest.param(arrivals(40, 103.0), False, id="warm again"),
+            pytest.param(arrivals(40, 99.0), False, id="not cold yet"),
+            pytest.param(arrivals(40, 101.0, target="e"), False, id="other target"),
+            pytest.param(arrivals(40, 101.0, status=421), False, id="wrong target"),
+            pytest.param(
+                arrivals(20, 101.0) + arrivals(1, 101.5, is_in_touch=False),
+                True,
+                id="one of them out of touch",
+            ),
+            pytest.param(
+                arrivals(20, 100.0) + arrivals(20, 101.0) + arrivals(20, 102.0),
+                False,
+                id="at the bound in each second",
+            ),
+        ],
+    )
+    def test_requests(self, requests: list[TargetRequest], is_broken: bool) -> None:
+        found = find_cold_overloads(requests, [COLD], COLD_BOUNDS)
+        assert [violation.rule for violation in found] == ["FAILBACK"] * is_broken
