Limit requests to cold targets to the rate that they handle

Cause: a target that has started or been readmitted crashes under the load of a warm one; cold_remaining_ms of the platform's list and cold_per_s of the configuration are not read. Change: the leader publishes cold targets in ColdTargets before each grant, those of a readmitted domain for 2 s; admission treats a cold target as one that names a rate. Plain calls of the product's own interface use an even part of the rate. Without cold_per_s nothing is sent or limited.

--- a/packages/heathertack/src/heathertack/blackboard/__init__.py
+++ b/packages/heathertack/src/heathertack/blackboard/__init__.py
@@ -8,6 +8,7 @@
 )
 from heathertack.blackboard._sections import (
     BUNDLE,
+    COLD_TARGETS,
     CONTROL,
     DRAIN,
     EVACUATED_DOMAINS,
@@ -37,6 +38,7 @@
 
 __all__ = [
     "BUNDLE",
+    "COLD_TARGETS",
     "CONTROL",
     "DRAIN",
     "EVACUATED_DOMAINS",
--- a/packages/heathertack/src/heathertack/blackboard/_sections.py
+++ b/packages/heathertack/src/heathertack/blackboard/_sections.py
@@ -138,6 +138,8 @@
 TARGETS: Section[Mapping[str, TargetRecord]] = Section("targets", {})
 #: Leaving targets by name, as they told this instance.
 LEAVING_TARGETS: Section[Mapping[str, LeavingTarget]] = Section("leaving_targets", {})
+#: Requests a second that cold targets handle, from all instances together, by name.
+COLD_TARGETS: Section[Mapping[str, float]] = Section("cold_targets", {})
 #: Targets that would be live if their failure domain were not evacuated.
 EVACUATED_TARGETS: Section[frozenset[str]] = Section("evacuated_targets", frozenset())
 #: Failure domains whose targets must get no requests, as the leader says.
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -53,6 +53,7 @@
     TargetResponded,
     TargetUnreachable,
 )
+from heathertack.controllers._cold_targets import ColdShares, ColdStart, find_rates
 from heathertack.controllers._control_log import (
     Action as ControlLogAction,
     ControlLogController,
@@ -125,6 +126,7 @@
     TargetUncordoned,
 )
 from heathertack.controllers._lease_holder import (
+    ColdTargetsReceived,
     EvacuationsReceived,
     InstanceIdentity,
     LeaderHintReceived,
@@ -257,6 +259,9 @@
     "ClaimCompleted",
     "ClaimTimedOut",
     "CloseLink",
+    "ColdShares",
+    "ColdStart",
+    "ColdTargetsReceived",
     "CommandSubmitted",
     "CommitCommand",
     "CompleteResponse",
@@ -404,6 +409,7 @@
     "choose_addresses",
     "derive_lease_timings",
     "find_pause",
+    "find_rates",
     "find_service_pause",
     "find_surplus_records",
     "find_usable_targets",
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -6,6 +6,7 @@
 from typing import Any, ClassVar, assert_never
 
 from heathertack.blackboard import (
+    COLD_TARGETS,
     LEASE,
     MEMBERS,
     SUSPECTS,
@@ -36,6 +37,7 @@
     AddressedReply,
     TargetCapacity,
 )
+from heathertack.controllers._cold_targets import find_rates
 from heathertack.controllers._instance_pauses import InstancePauses
 from heathertack.controllers._limit_sharing import LimitSharing
 from heathertack.controllers._software_versions import find_version
@@ -75,6 +77,7 @@
     """
 
     READS: ClassVar[tuple[Section[Any], ...]] = (
+        COLD_TARGETS,
         LEASE,
         MEMBERS,
         SUSPECTS,
@@ -98,6 +101,7 @@
         self._last_members: Mapping[str, object] | None = None
         self._last_versions: Mapping[str, str] | None = None
         self._last_limits: Mapping[str, TargetLimit] | None = None
+        self._last_cold: Mapping[str, float] | None = None
         self._last_bounds: Mapping[str, TargetLimit] | None = None
         self._had_lease = False
         #: Time at which each instance last asked this owner.
@@ -290,17 +294,20 @@
         """Update the groups if tables, limits or the lease changed."""
         self._apply_tables(now)
         limits = self._board.read(TARGET_LIMITS)
+        cold = self._board.read(COLD_TARGETS)
         bounds = self._board.read(TARGET_REJECTIONS)
         has_lease = self._board.read(LEASE).is_valid(now)
         has_majority = bool(bounds) and self._hears_majority(now)
         if (
             limits is self._last_limits
+            and cold is self._last_cold
             and bounds is self._last_bounds
             and has_lease == self._had_lease
             and has_majority == self._has_majority
         ):
             return
         self._last_limits = limits
+        self._last_cold = cold
         self._last_bounds = bounds
         self._had_lease = has_lease
         self._has_majority = has_majority
@@ -363,17 +370,16 @@
             self._set_targets(group)
 
     def _set_rates(self, group: AdmissionGroup, now: float) -> None:
-        """Set the limited rates of a group's targets.
+        """Set the rates of a group's targets that limit them or are cold.
 
         An owner that may be cut off from the others, or that stands in for an
         unresponsive one, assigns each entry instance its even part only.
         """
         is_sole_owner = self._had_lease and group.name in self._owned_groups
         rates = {
-            target: limit.rate
-            for target, limit in self._board.read(TARGET_LIMITS).items()
-            if limit.rate is not None
-            and self._group_of_target.get(target) == group.name
+            target: rate
+            for target, rate in find_rates(self._board).items()
+            if self._group_of_target.get(target) == group.name
         }
         part = None if is_sole_owner else 1.0 / max(len(self._live_domains), 1)
         group.set_rates(rates, part, now)
--- a/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_grantor.py
@@ -13,6 +13,7 @@
     SendToPeer,
 )
 from heathertack.controllers._bundle_archive import BundleArchive
+from heathertack.controllers._cold_targets import ColdPublisher, ColdStart
 from heathertack.controllers._control_log_events import TimePassed
 from heathertack.controllers._evacuated_targets import EvacuationPublisher
 from heathertack.controllers._lease_timings import LeaseTimings
@@ -25,6 +26,7 @@
     LeaseRequest,
     MemberRecord,
     MemberState,
+    PeerMessage,
     TableVersion,
     TargetRecord,
     TargetState,
@@ -61,6 +63,8 @@
     targets: tuple[TargetRecord, ...]
     #: Software version of each target by name.
     versions: Mapping[str, str] = MappingProxyType({})
+    #: Targets that may become cold, by name.
+    cold_starts: Mapping[str, ColdStart] = MappingProxyType({})
 
 
 class TargetLeavingReported(NamedTuple):
@@ -141,6 +145,7 @@
             self._next_sequence
         )
         self._evacuations = EvacuationPublisher(self._next_sequence)
+        self._cold = ColdPublisher()
         self._holders: dict[str, _Holder] = {}
         self._cordoned: frozenset[str] = frozenset()
         self._reported_leaving: frozenset[str] = frozenset()
@@ -239,6 +244,7 @@
         self._targets.clear()
         self._versions.clear()
         self._evacuations.clear()
+        self._cold.clear()
         self._holders.clear()
         self._cordoned = frozenset()
         self._reported_leaving = frozenset()
@@ -266,6 +272,7 @@
         """Publish the targets of evacuated or readmitted domains at once."""
         if not self._evacuations.set_domains(control.evacuated):
             return ()
+        self._cold.set_evacuated(control.evacuated, now)
         for name in self._listed:
             self._put_target(name)
         return self._push_to_holders(control, now)
@@ -321,13 +328,15 @@
             suspects=control.suspects if self._suspects_sequence > since else None,
         )
         sent_grant = SendToPeer(request.instance, grant)
-        evacuated = self._evacuations.build(self._term, since)
-        preceding = [SendToPeer(request.instance, message) for message in evacuated]
+        preceding: list[PeerMessage] = [
+            *self._evacuations.build(self._term, since),
+            *self._cold.build(self._term, now),
+        ]
         versions = self._versions.changes_since(since)
         if versions:
-            changed = TargetVersions(self._term, versions)
-            preceding.append(SendToPeer(request.instance, changed))
-        return (*preceding, sent_grant)
+            preceding.append(TargetVersions(self._term, versions))
+        sent = (SendToPeer(request.instance, message) for message in preceding)
+        return (*sent, sent_grant)
 
     def _start_push(self, instance: str, push: BundlePush, now: float) -> bool:
         """Record that a bundle is sent, and return whether it must be."""
@@ -359,7 +368,7 @@
         restarted = {t.name for t in event.targets if self._has_restarted(t)}
         self._reported_leaving = (self._reported_leaving & names) - restarted
         self._listed = {target.name: target for target in event.targets}
-        changed = False
+        changed = self._cold.set_listed(event.targets, event.cold_starts, now)
         for name in names:
             version = TargetVersion(name, event.versions.get(name, ""))
             if self._versions.put(name, version):
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -7,6 +7,7 @@
 
 from heathertack.blackboard import (
     BUNDLE,
+    COLD_TARGETS,
     CONTROL,
     DRAIN,
     EVACUATED_DOMAINS,
@@ -32,11 +33,13 @@
     unpack_changes,
 )
 from heathertack.controllers._actions import SendToPeer
+from heathertack.controllers._cold_targets import ColdReceiver
 from heathertack.controllers._evacuated_targets import EvacuationReceiver
 from heathertack.controllers._lease_timings import LeaseTimings
 from heathertack.controllers._leaving_targets import apply_leaving_targets
 from heathertack.messages import (
     BundlePush,
+    ColdTargets,
     EvacuatedTargets,
     LeaderHint,
     LeaseGrant,
@@ -76,6 +79,12 @@
     evacuated: EvacuatedTargets
 
 
+class ColdTargetsReceived(NamedTuple):
+    """A leader named cold targets."""
+
+    cold: ColdTargets
+
+
 class LeaderHintReceived(NamedTuple):
     """A leader hint was received; it is empty if the sender has no leader."""
 
@@ -92,6 +101,7 @@
     | LeaseGrantReceived
     | TargetVersionsReceived
     | EvacuationsReceived
+    | ColdTargetsReceived
     | LeaderHintReceived
     | LeavingTargetsChanged
 )
@@ -127,6 +137,7 @@
     READS: ClassVar[tuple[Section[Any], ...]] = (CONTROL, DRAIN, LEAVING_TARGETS)
     WRITES: ClassVar[tuple[Section[Any], ...]] = (
         BUNDLE,
+        COLD_TARGETS,
         EVACUATED_DOMAINS,
         EVACUATED_TARGETS,
         LEASE,
@@ -160,6 +171,7 @@
         #: Targets whose version has arrived since the latest grant.
         self._received_versions: set[str] = set()
         self._evacuations = EvacuationReceiver()
+        self._cold = ColdReceiver()
         board.register(self)
 
     @property
@@ -188,6 +200,7 @@
         """
         match event:
             case LeaseDue():
+                self._write_cold(now)
                 return self._request(now) if now >= self._next_request else ()
             case ReportedStateChanged():
                 return self._request(now)
@@ -198,6 +211,10 @@
             case EvacuationsReceived():
                 self._evacuations.receive(event.evacuated, self._term, now)
                 return ()
+            case ColdTargetsReceived():
+                self._cold.receive(event.cold, self._term, now)
+                self._write_cold(now)
+                return ()
             case LeaderHintReceived():
                 return self._handle_hint(event.hint, now)
             case LeavingTargetsChanged():
@@ -403,6 +420,12 @@
             if names != self._board.read(section):
                 self._board.write(self, section, names)
 
+    def _write_cold(self, now: float) -> None:
+        """Write the targets that are cold now."""
+        self._cold.expire(now)
+        if self._cold.rates != self._board.read(COLD_TARGETS):
+            self._board.write(self, COLD_TARGETS, self._cold.rates)
+
     def _write_targets(self, listed: Mapping[str, TargetRecord]) -> None:
         """Write the listed targets, and with the states that they tell themselves."""
         leaving = self._board.read(LEAVING_TARGETS)
--- a/packages/heathertack/src/heathertack/controllers/_local_target_chooser.py
+++ b/packages/heathertack/src/heathertack/controllers/_local_target_chooser.py
@@ -6,10 +6,10 @@
 
 from heathertack.blackboard import (
     MEMBERS,
-    TARGET_LIMITS,
     TARGET_REJECTIONS,
     Blackboard,
 )
+from heathertack.controllers._cold_targets import find_rates
 from heathertack.controllers._placement_types import (
     PlacementDenied,
     TargetChosen,
@@ -133,9 +133,7 @@
 
     def _update_rates(self, now: float) -> RateUser:
         """Apply the known limits, and return the part of this instance."""
-        limits = self._board.read(TARGET_LIMITS)
-        rates = {t: limit.rate for t, limit in limits.items() if limit.rate is not None}
-        self._rates.set_rates(rates, now)
+        self._rates.set_rates(find_rates(self._board), now)
         members = self._board.read(MEMBERS).values()
         alive = [m.instance for m in members if m.state is MemberState.ALIVE]
         bounds = {
--- a/packages/heathertack/src/heathertack/controllers/_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/_placement.py
@@ -7,6 +7,7 @@
 from typing import Any, ClassVar, NamedTuple, assert_never
 
 from heathertack.blackboard import (
+    COLD_TARGETS,
     EVACUATED_DOMAINS,
     EVACUATED_TARGETS,
     LEAVING_TARGETS,
@@ -126,6 +127,7 @@
     """
 
     READS: ClassVar[tuple[Section[Any], ...]] = (
+        COLD_TARGETS,
         EVACUATED_DOMAINS,
         EVACUATED_TARGETS,
         LEAVING_TARGETS,
--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,7 +1,11 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
-from heathertack.messages._evacuations import EvacuatedTargets
+from heathertack.messages._evacuations import (
+    ColdTarget,
+    ColdTargets,
+    EvacuatedTargets,
+)
 from heathertack.messages._frames import build_frames, join_frames
 from heathertack.messages._peer import (
     PEER_CODEC,
@@ -55,6 +59,8 @@
     "PEER_CODEC",
     "BundlePush",
     "CodecError",
+    "ColdTarget",
+    "ColdTargets",
     "ControlReply",
     "ControlRequest",
     "ControlStatus",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -13,7 +13,7 @@
     VoteResponse,
 )
 from heathertack.messages._codec import MessageCodec
-from heathertack.messages._evacuations import EvacuatedTargets
+from heathertack.messages._evacuations import ColdTargets, EvacuatedTargets
 from heathertack.messages._reservations import (
     ReservationAnnounce,
     ReservationBlame,
@@ -229,6 +229,7 @@
     | RelayedPause
     | TargetRejectionRates
     | EvacuatedTargets
+    | ColdTargets
 )
 
 #: Codec of the messages between instances.
@@ -266,5 +267,6 @@
         RelayedPause,
         TargetRejectionRates,
         EvacuatedTargets,
+        ColdTargets,
     )
 )
--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -17,6 +17,7 @@
     CallEvent,
     ClaimCompleted,
     ClaimTimedOut,
+    ColdShares,
     Execution,
     OutcomeRecorded,
     RecordingTimedOut,
@@ -136,14 +137,20 @@
 class _TargetRotation:
     """Iterates over the targets of a call, using each of them once.
 
-    A call may wait for its claim, and for answers, while a domain is evacuated.
+    A call may wait for its claim, and for answers, while a domain is evacuated or a
+    target becomes cold.
     """
 
     def __init__(
-        self, board: Blackboard, targets: tuple[TargetRecord, ...], start: int
+        self,
+        board: Blackboard,
+        shares: ColdShares,
+        targets: tuple[TargetRecord, ...],
+        start: int,
     ) -> None:
         start = start % len(targets) if targets else 0
         self._board = board
+        self._shares = shares
         self._targets = list(targets[start:] + targets[:start])
 
     @property
@@ -153,12 +160,22 @@
 
     @property
     def _remaining(self) -> list[TargetRecord]:
-        return [t for t in self._targets if not is_evacuated(self._board, t.name)]
+        now = _clock.monotonic()
+        return [
+            target
+            for target in self._targets
+            if not is_evacuated(self._board, target.name)
+            and self._shares.accepts(target.name, now)
+        ]
 
     def take(self) -> TargetRecord | None:
         """Return the next target, ``None`` if all were used."""
         self._targets = self._remaining
-        return self._targets.pop(0) if self._targets else None
+        if not self._targets:
+            return None
+        target = self._targets.pop(0)
+        self._shares.spend(target.name, _clock.monotonic())
+        return target
 
 
 class CallRunner:
@@ -176,6 +193,7 @@
         self._instance = instance
         self._client = client
         self._retry_budget = RetryBudget()
+        self._cold_shares = ColdShares(instance.board)
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._rotation_count = 0
 
@@ -305,7 +323,9 @@
         now = _clock.monotonic()
         targets = find_usable_targets(self._instance.board, spec.service, now)
         self._rotation_count += 1
-        return _TargetRotation(self._instance.board, targets, self._rotation_count)
+        return _TargetRotation(
+            self._instance.board, self._cold_shares, targets, self._rotation_count
+        )
 
     def _record_failure(self, target: TargetRecord) -> None:
         event = TargetFailed(target.name)
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -36,6 +36,7 @@
     AnnounceLeadership,
     AnnounceReceived,
     BundleCommitted,
+    ColdTargetsReceived,
     CommandSubmitted,
     CommitCommand,
     ConfirmBundleInForce,
@@ -105,6 +106,7 @@
     instance_of,
 )
 from heathertack.messages import (
+    ColdTargets,
     ControlReply,
     ControlRequest,
     ControlStatus,
@@ -140,6 +142,7 @@
 from heathertack.settings import Settings
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
+from heathertackd._cold_target_log import ColdTargetLog
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
@@ -258,6 +261,7 @@
         self._logged_causes: tuple[CrashCause, ...] = ()
         self._pushes = PushLog(logger)
         self._evacuations = EvacuationLog(board, logger, self.metrics)
+        self._cold_targets = ColdTargetLog(board, logger, self.metrics)
         self._logged_may_lead = False
         self.origins = StreamOriginController(board, self.name)
         self._origin_waiters: dict[str, asyncio.Future[OriginDetermined]] = {}
@@ -363,6 +367,7 @@
                 | TargetReport()
                 | TargetVersions()
                 | EvacuatedTargets()
+                | ColdTargets()
             ):
                 self._handle_lease_message(sender, message, now)
             case ControlRequest():
@@ -602,6 +607,7 @@
         self._log_may_lead(now)
         self._pushes.flush(now)
         self._evacuations.update()
+        self._cold_targets.update()
         self.metrics.open_requests.set(self.board.read(DRAIN).open_requests)
 
     def _apply_leaving_targets(self, changed: Iterable[str], source: str) -> None:
@@ -691,6 +697,7 @@
             | TargetReport
             | TargetVersions
             | EvacuatedTargets
+            | ColdTargets
         ),
         now: float,
     ) -> None:
@@ -708,6 +715,9 @@
             case EvacuatedTargets():
                 evacuated = EvacuationsReceived(message)
                 self._carry_out(self.lease_holder.handle(evacuated, now))
+            case ColdTargets():
+                cold = ColdTargetsReceived(message)
+                self._carry_out(self.lease_holder.handle(cold, now))
             case TargetReport():
                 if self.grantor is not None:
                     report = TargetLeavingReported(message.target)
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -67,6 +67,11 @@
             "Targets that bound the requests that they turn away",
             registry=self._registry,
         )
+        self.cold_targets = Gauge(
+            "heathertack_cold_targets",
+            "Targets that handle few requests since they are cold",
+            registry=self._registry,
+        )
         self.evacuated_targets = Gauge(
             "heathertack_evacuated_targets",
             "Targets that run and get no requests since their domain is evacuated",
--- a/packages/heathertackd/src/heathertackd/_watchers.py
+++ b/packages/heathertackd/src/heathertackd/_watchers.py
@@ -13,6 +13,7 @@
 from heathertack.blackboard import BUNDLE, CONTROL, TARGETS
 from heathertack.controllers import (
     CacheEventReceived,
+    ColdStart,
     LoadReportMissed,
     LoadReportReceived,
     PlatformTargetsListed,
@@ -60,6 +61,8 @@
     record: TargetRecord
     #: Version of its software, empty if the platform names none.
     version: str = ""
+    #: ``None`` if it never becomes cold.
+    cold_start: ColdStart | None = None
 
 
 class TargetListing(NamedTuple):
@@ -173,6 +176,7 @@
         listed = PlatformTargetsListed(
             tuple(target.record for target in targets),
             {target.record.name: target.version for target in targets},
+            {t.record.name: t.cold_start for t in targets if t.cold_start is not None},
         )
         actions = self._instance.grantor.handle(listed, _clock.monotonic())
         self._instance.carry_out(actions)
@@ -201,7 +205,7 @@
     def _log_changes(self, targets: tuple[ListedTarget, ...]) -> None:
         board = self._instance.board
         known = board.read(TARGETS)
-        for target, version in targets:
+        for target, version, _ in targets:
             before = known.get(target.name)
             is_known = before is not None and before.state is target.state
             if not is_known and not is_evacuated(board, target.name):
