Simulate evacuations while some instances are cut off from the leader

Cause: the bound for cold targets counts requests of instances out of contact too, which know nothing of the cold targets. Change: a tenth of the instances, at least one, are cut off at three moments of the simulation. The log of evacuated services does no work where nothing is evacuated.

--- a/packages/heathertack-fakes/src/heathertack_fakes/tests/evacuation_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/tests/evacuation_simulation.py
@@ -102,6 +102,10 @@
     #: targets in a time, and that time.
     deaf: tuple[str, ...] = ()
     deaf_time: tuple[float, float] = (0.0, 0.0)
+    #: Instances that neither hear of the leader nor reach it from a time on. They go on
+    #: with the table that they have.
+    cut: tuple[str, ...] = ()
+    cut_at: float = 0.0
     #: Rate of cold targets, requests a second; ``None`` if there are none.
     cold_rate: float | None = 27.0
     cold_seconds: float = 1.0
@@ -324,7 +328,8 @@
         self._at(self.now + self.random.expovariate(self.world.demand), self._arrive)
         name = self.random.choice(self.names)
         node = self.nodes[name]
-        if name in self.down or not node.board.read(LEASE).is_valid(self.now):
+        is_valid = node.board.read(LEASE).is_valid(self.now)
+        if name in self.down or not (is_valid or self._is_cut(name)):
             return
         if not node.board.read(TARGETS):
             return
@@ -357,12 +362,19 @@
                 case PlacementDenied():
                     self.refusals.append((self.now, action.code))
 
+    def _is_cut(self, name: str) -> bool:
+        return name in self.world.cut and self.now >= self.world.cut_at
+
     def _deliver(self, sender: str, action: SendToPeer) -> None:
         receiver = action.instance
         begin, end = self.world.deaf_time
         is_own = isinstance(action.message, EvacuatedTargets | ColdTargets)
         if is_own and receiver in self.world.deaf and begin <= self.now < end:
             return
+        if self._is_cut(sender) and receiver in CONTROL_NAMES:
+            return
+        if self._is_cut(receiver) and sender in CONTROL_NAMES:
+            return
 
         def arrive() -> None:
             if not {sender, receiver} & self.down:
@@ -380,7 +392,12 @@
         target = chosen.target
         self.requests.append(
             TargetRequest(
-                chosen.generation_id, target, self._domains[target], name, self.now
+                chosen.generation_id,
+                target,
+                self._domains[target],
+                name,
+                self.now,
+                is_in_touch=not self._is_cut(name),
             )
         )
 
--- a/packages/heathertack-fakes/src/heathertack_fakes/tests/test_evacuation_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/tests/test_evacuation_simulation.py
@@ -84,6 +84,17 @@
         assert late == ()
         assert find_cold_overloads(requests, simulation.cold_times, BOUNDS) == ()
 
+    # Guards against instances that use up the rate of cold targets a second time, since
+    # they do not reach the leader: a tenth of them, at least one.
+    @pytest.mark.parametrize("cut_at", [3.9, 6.0, 7.9])
+    def test_some_instances_are_cut_off(self, size: int, cut_at: float) -> None:
+        cut = tuple(f"i{number}" for number in range(2, size, 10))
+        simulation = run(World(size, ONE_DOMAIN, cut=cut, cut_at=cut_at))
+        requests = simulation.requests
+        late = find_evacuated_requests(requests, simulation.evacuations, PUSHED_SECONDS)
+        assert late == ()
+        assert find_cold_overloads(requests, simulation.cold_times, BOUNDS) == ()
+
     # Guards against the demand of all callers that meets cold targets only, and against
     # requests that wait for targets that an operator keeps from them.
     def test_service_is_evacuated_and_readmitted_as_a_whole(self, size: int) -> None:
--- a/packages/heathertackd/src/heathertackd/_evacuation_log.py
+++ b/packages/heathertackd/src/heathertackd/_evacuation_log.py
@@ -52,6 +52,8 @@
 
     def _log_services(self) -> None:
         """Log services that have no target outside the evacuated domains."""
+        if not self._logged[0] and not self._services:
+            return
         known = {target.service for target in self._board.read(TARGETS).values()}
         services = frozenset(s for s in known if self._is_evacuated(s))
         for service in sorted(services - self._services):
