--- a/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
+++ b/packages/heathertack/src/heathertack/tests/test_recorded_formats.py
@@ -32,6 +32,9 @@
 )
 from heathertack.messages import (
     PEER_CODEC,
+    ColdTarget,
+    ColdTargets,
+    EvacuatedTargets,
     MessageCodec,
     PeerMessage,
     TargetRate,
@@ -139,6 +142,21 @@
         older = MessageCodec[Any]((TargetVersions,))
         assert kind.__name__ in older.decode(data).failure().detail
 
+    # Guards against the same for what a leader says of evacuated and cold targets.
+    @pytest.mark.parametrize(
+        "message",
+        [
+            EvacuatedTargets(7, ("i-7f3a91c2",), ("zone-a",)),
+            ColdTargets(7, (ColdTarget("i-7f3a91c2", 1.5, 27.0),)),
+        ],
+    )
+    def test_older_build_ignores_evacuated_and_cold_targets(
+        self, message: EvacuatedTargets | ColdTargets
+    ) -> None:
+        data = PEER_CODEC.encode(message)
+        older = MessageCodec[Any]((TargetVersions, TargetRejectionRates))
+        assert type(message).__name__ in older.decode(data).failure().detail
+
     @pytest.mark.parametrize("codec", CODECS)
     def test_encodes_exactly_the_recorded_types(self, codec: str) -> None:
         recorded = {message["type"] for message in RECORDED[codec]}
