--- a/packages/heathertack/src/heathertack/messages/__init__.py
+++ b/packages/heathertack/src/heathertack/messages/__init__.py
@@ -1,7 +1,11 @@
 """Messages between instances and the codec of typed messages."""
 
 from heathertack.messages._codec import CodecError, MessageCodec
-from heathertack.messages._evacuated_targets import EvacuatedTargets
+from heathertack.messages._evacuated_targets import (
+    ColdTarget,
+    ColdTargets,
+    EvacuatedTargets,
+)
 from heathertack.messages._evacuations import (
     EvacuationReply,
     EvacuationRequest,
@@ -60,6 +64,8 @@
     "PEER_CODEC",
     "BundlePush",
     "CodecError",
+    "ColdTarget",
+    "ColdTargets",
     "ControlReply",
     "ControlRequest",
     "ControlStatus",
--- a/packages/heathertack/src/heathertack/messages/_peer.py
+++ b/packages/heathertack/src/heathertack/messages/_peer.py
@@ -13,7 +13,7 @@
     VoteResponse,
 )
 from heathertack.messages._codec import MessageCodec
-from heathertack.messages._evacuated_targets import EvacuatedTargets
+from heathertack.messages._evacuated_targets import ColdTargets, EvacuatedTargets
 from heathertack.messages._evacuations import EvacuationReply, EvacuationRequest
 from heathertack.messages._reservations import (
     ReservationAnnounce,
@@ -232,6 +232,7 @@
     | EvacuationRequest
     | EvacuationReply
     | EvacuatedTargets
+    | ColdTargets
 )
 
 #: Codec of the messages between instances.
@@ -271,5 +272,6 @@
         EvacuationRequest,
         EvacuationReply,
         EvacuatedTargets,
+        ColdTargets,
     )
 )
