Place generations by the measured speeds of engines where these differ

Cause: the score of a target was its projected cache use alone, so that engines of speed 0.6 got as many streams as those of 1.6 until their memory filled up.

Change: the admission owner compares the progress reports that it already receives with the work of a target of speed 1 (steps with the same batch, prompts read in between) and keeps a speed for prompts and one for steps of each target. Measurements within 0.6 s count once, the 0.7 quantile of the last 12 s is the speed, and speeds within 1.35 of the usual one count as equal to it. Scores grow with the time that a request takes at that speed. Grants name the speeds in their reason.

The test of the work for waiting requests counted calls of score, which dropping backups no longer uses; it counts the projection that both use, with the same bound.

--- a/packages/heathertack-fakes/src/heathertack_fakes/_engine_model.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/_engine_model.py
@@ -30,6 +30,9 @@
     batch: int = 256
     #: Maximum prompt tokens computed in one step, unless a single prompt is longer.
     prompt_tokens_per_step: int = 2048
+    #: Prompt tokens read in one step if prompts are read in pieces between the steps of
+    #: other generations; 0 if they are read whole.
+    piece_tokens: int = 0
 
 
 class EngineRequest(NamedTuple):
@@ -67,6 +70,8 @@
         self.request = request
         self.order = order
         self.generated_tokens = 0
+        #: Prompt tokens that are still to be read in pieces.
+        self.unread = 0
 
     @property
     def tokens(self) -> int:
@@ -154,6 +159,8 @@
     def start_step(self) -> float:
         """Admit waiting generations and return the duration of the step, seconds."""
         computed = self._admit()
+        if self._size.piece_tokens:
+            computed = self._read_piece()
         speed = self._speed
         duration = speed.step
         duration += speed.per_generation * len(self._running)
@@ -166,6 +173,8 @@
         self._preempt_for_step()
         tokens: list[GeneratedToken] = []
         for generation_id, sequence in tuple(self._running.items()):
+            if sequence.unread:
+                continue
             is_last = sequence.generated_tokens + 1 >= sequence.request.length
             tokens.append(
                 GeneratedToken(generation_id, sequence.generated_tokens, is_last)
@@ -184,15 +193,25 @@
             is_over_budget = computed + cost > self._size.prompt_tokens_per_step
             if len(self._running) >= self._size.batch or sequence.tokens + 1 > free:
                 break
-            if computed and is_over_budget:
+            if computed and is_over_budget and not self._size.piece_tokens:
                 break
             computed += cost
+            sequence.unread = cost if self._size.piece_tokens else 0
             free -= sequence.tokens + 1
             del self._waiting[sequence.request.generation_id]
             self._running[sequence.request.generation_id] = sequence
             self._store_prefix(sequence.request.prefix)
         return computed
 
+    def _read_piece(self) -> int:
+        """Read the next piece of prompts, and return its tokens."""
+        left = self._size.piece_tokens
+        for sequence in self._running.values():
+            read = min(sequence.unread, left)
+            sequence.unread -= read
+            left -= read
+        return self._size.piece_tokens - left
+
     def _prompt_cost(self, sequence: _Sequence) -> int:
         cached = 0
         for digest in sequence.request.prefix:
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_simulation.py
@@ -52,6 +52,19 @@
     preemptions: int
 
 
+class ServedRequest(NamedTuple):
+    """What the caller of a request received; times are in seconds."""
+
+    arrival: Arrival
+    engine: int
+    #: Time of the first event.
+    first_at: float
+    #: Time of the last event; infinite if the request has not ended.
+    finished_at: float
+    #: Longest time between two events.
+    longest_pause: float
+
+
 class _Progress:
     """Tokens that the caller of one request has received, and their times."""
 
@@ -87,14 +100,26 @@
         Age of the load reports that routers receive, seconds.
     warm_up : float
         Time from which requests are included in the figures, seconds.
+    speed : EngineSpeed
+        Components of the duration of a step.
+    tokens_per_event : int
+        Number of tokens that callers receive together.
     """
 
     def __init__(
-        self, engines: int, size: EngineSize, report_lag: float, warm_up: float
+        self,
+        engines: int,
+        size: EngineSize,
+        report_lag: float,
+        warm_up: float,
+        *,
+        speed: EngineSpeed = EngineSpeed(),  # noqa: B008 - immutable
+        tokens_per_event: int = 1,
     ) -> None:
         self.now = 0.0
         self.engine_count = engines
-        self._engines = [_SimulatedEngine(size, EngineSpeed()) for _ in range(engines)]
+        self._engines = [_SimulatedEngine(size, speed) for _ in range(engines)]
+        self._tokens_per_event = tokens_per_event
         self._report_lag = report_lag
         self._warm_up = warm_up
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -106,6 +131,18 @@
         self._gaps = GapHistogram()
         self.router: Router | None = None
 
+    @property
+    def refused(self) -> tuple[Arrival, ...]:
+        """Requests that were refused."""
+        return tuple(self._refused)
+
+    @property
+    def served(self) -> tuple[ServedRequest, ...]:
+        """Requests whose callers have received an event."""
+        done = [_describe_served(p, p.last_at) for p in self._done]
+        progress = [p for p in self._progress.values() if p.first_at]
+        return (*done, *(_describe_served(p, float("inf")) for p in progress))
+
     @property
     def alive(self) -> tuple[int, ...]:
         """Indexes of the engines that have not failed."""
@@ -276,7 +313,7 @@
         router = self._require_router()
         for token in engine.model.finish_step():
             progress = self._progress[token.generation_id]
-            self._record_token(progress)
+            self._record_token(progress, is_last=token.is_last)
             if token.is_last:
                 del self._progress[token.generation_id]
                 self._done.append(progress)
@@ -289,15 +326,17 @@
                 )
         self._start_step(engine)
 
-    def _record_token(self, progress: _Progress) -> None:
-        if progress.generated_tokens:
+    def _record_token(self, progress: _Progress, *, is_last: bool) -> None:
+        progress.generated_tokens += 1
+        if progress.generated_tokens % self._tokens_per_event and not is_last:
+            return
+        if progress.first_at:
             gap = self.now - progress.last_at
             progress.longest_gap = max(progress.longest_gap, gap)
             if self.now >= self._warm_up:
                 self._gaps.add(gap)
         else:
             progress.first_at = self.now
-        progress.generated_tokens += 1
         progress.last_at = self.now
 
     def _record_reports(self) -> None:
@@ -317,6 +356,16 @@
             engine.reports.append((self.now, report))
 
 
+def _describe_served(progress: _Progress, finished_at: float) -> ServedRequest:
+    return ServedRequest(
+        progress.arrival,
+        progress.engine,
+        progress.first_at,
+        finished_at,
+        progress.longest_gap,
+    )
+
+
 def _fairness(done: Sequence[_Progress], counted: Sequence[Arrival]) -> float:
     requested = Counter(arrival.account for arrival in counted)
     served = Counter(progress.arrival.account for progress in done)
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -229,7 +229,7 @@
             return generation_id in self._queue
         if generated_tokens:
             self._targets.end_transfer(generation_id)
-            self._targets.record_accepted(generation_id)
+            self._targets.record_progress(held, generated_tokens, now)
         self._charge(held, generated_tokens)
         self._store_reservation(
             held.request,
@@ -472,7 +472,7 @@
         user = self._rate_user(waiting.instance)
         paused = self._pauses.find(waiting.instance, now)
         for target in self._targets.order_candidates(request, user, now, paused):
-            score = self._targets.score(request, target, candidate)
+            score = self._targets.score(request, target, candidate, now)
             if score is None:
                 continue
             if best is None or (score, target) < best:
@@ -550,13 +550,13 @@
         try:
             for key, _ in entries:
                 ledger.release(_backup_key(key))
-            if self._targets.score(request, target, candidate) is None:
+            if not self._targets.fits(request, target, candidate):
                 return ()
             # Reserves the smallest ones again for as long as the request fits.
             while dropped > 1:
                 key, entry = entries[dropped - 1]
                 ledger.reserve_backup(_backup_key(key), entry)
-                if self._targets.score(request, target, candidate) is None:
+                if not self._targets.fits(request, target, candidate):
                     break
                 dropped -= 1
             return tuple(key for key, _ in entries[:dropped])
@@ -626,8 +626,7 @@
         self, waiting: WaitingRequest, target: str, now: float
     ) -> AddressedReply:
         request = waiting.request
-        ledger = self._targets.find_ledger(target)
-        ledger_state = ledger.describe() if ledger is not None else ""
+        ledger_state = self._targets.describe(target, now)
         backup = self._choose_backup_target(waiting, target, now)
         if request.is_running:
             endpoints = (*request.excluded, target)
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Iterable, Mapping
 
-from heathertack.controllers._admission_types import TargetCapacity
+from heathertack.controllers._admission_types import HeldReservation, TargetCapacity
 from heathertack.messages import ReservationRequest
 from heathertack.policy import (
+    USUAL_SPEED,
     AdmissionTuning,
+    GenerationProgress,
     LedgerEntry,
     PrefixIndex,
     RateUser,
@@ -15,6 +17,8 @@
     RejectionUser,
     RequestRates,
     TargetLedger,
+    TargetSpeed,
+    TargetSpeeds,
 )
 
 
@@ -42,6 +46,7 @@
         self._transfers: dict[str, frozenset[str]] = {}
         self._rates = RequestRates()
         self._bounds = RejectionBounds(now)
+        self._speeds = TargetSpeeds()
 
     @property
     def usable(self) -> frozenset[str]:
@@ -66,6 +71,7 @@
                 del self._prefixes[target]
                 del self._slots[target]
                 del self._domains[target]
+                self._speeds.forget(target)
 
     def set_versions(self, versions: Mapping[str, str | None]) -> None:
         """Set the software versions of all targets, ``None`` for unknown ones."""
@@ -111,18 +117,42 @@
             self._count(target),
             now,
         )
-
-    def record_accepted(self, generation_id: str) -> None:
-        """Record that a target has accepted a request."""
-        self._bounds.record_accepted(generation_id)
+        ledger = self._ledgers.get(target)
+        if ledger is not None:
+            ahead = ledger.waiting_prompt_tokens
+            unread = 0 if request.is_running else self._unread(request, target) + ahead
+            self._speeds.record_sent(request.generation_id, target, unread, now)
+
+    def record_progress(self, held: HeldReservation, tokens: int, now: float) -> None:
+        """Record how many tokens of a request its target has generated."""
+        request, target = held.request, held.target
+        self._bounds.record_accepted(request.generation_id)
+        ledger = self._ledgers.get(target)
+        if ledger is not None and ledger.capacity:
+            unread = 0 if request.is_running else self._unread(request, target)
+            progress = GenerationProgress(unread, tokens, ledger.count)
+            self._speeds.record_progress(request.generation_id, target, progress, now)
 
     def record_ended(self, generation_id: str) -> None:
         """Record that a request has ended and was not turned away."""
         self._bounds.record_ended(generation_id)
+        self._speeds.record_ended(generation_id)
+
+    def describe(self, target: str, now: float) -> str:
+        """Return what a target is used for and its speeds, empty if it is unknown."""
+        ledger = self._ledgers.get(target)
+        if ledger is None:
+            return ""
+        speed = self._find_speed(target, now)
+        if speed == USUAL_SPEED:
+            return ledger.describe()
+        speeds = f"speed {speed.prompt:.2f} reading, {speed.step:.2f} in steps"
+        return f"{ledger.describe()}, {speeds}"
 
     def record_refused(self, target: str, generation_id: str, now: float) -> None:
         """Record that a target turned a request away, which has no reservation."""
         self._bounds.record_refused(target, generation_id, self._count(target), now)
+        self._speeds.record_ended(generation_id)
 
     def is_bounded(self, target: str) -> bool:
         """Return whether a target bounds the requests that it turns away."""
@@ -139,6 +169,17 @@
             )
         )
 
+    def _find_speed(self, target: str, now: float) -> TargetSpeed:
+        """Return the speed of a target that its score uses."""
+        if not self._tuning.compares_speeds:
+            return USUAL_SPEED
+        return self._speeds.find(target, now)
+
+    def _unread(self, request: ReservationRequest, target: str) -> int:
+        """Return the prompt tokens of a request that a target has to read."""
+        saved = self._prefixes[target].saved_tokens(request.prefix)
+        return max(request.prompt_tokens - saved, 0)
+
     def _allows(self, target: str, user: RateUser, now: float) -> bool:
         """Return whether the limits of a target allow one more request."""
         if not self._rates.accepts(target, user, now):
@@ -227,23 +268,40 @@
         now: float,
         paused: frozenset[str] = frozenset(),
     ) -> list[str]:
-        """Order targets by cache use, less the prefill that a cached prefix saves."""
+        """Order targets by cache use, less the prefill that a cached prefix saves.
+
+        Cache use counts for more on slow targets.
+        """
         weight = self._tuning.prefix_weight
 
         def rank(target: str) -> tuple[float, str]:
             saved = self._prefixes[target].saved_tokens(request.prefix)
             ledger = self._ledgers[target]
             run_penalty = self._tuning.run_weight * ledger.count * ledger.capacity
-            return (ledger.cached - weight * saved + run_penalty, target)
+            load = ledger.cached - weight * saved + run_penalty
+            speed = self._find_speed(target, now)
+            if speed != USUAL_SPEED:
+                slowdown = speed.slowdown(
+                    request.prompt_tokens, request.max_tokens, ledger.count
+                )
+                # An empty target is used for the request at least.
+                own = request.prompt_tokens
+                load = _scale(load + own, slowdown) - own
+            return (load, target)
 
         return sorted(self.list_candidates(request, user, now, paused), key=rank)
 
     def score(
-        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+        self,
+        request: ReservationRequest,
+        target: str,
+        candidate: LedgerEntry,
+        now: float,
     ) -> float | None:
         """Return the score of a target with a request added, ``None`` if it is full.
 
-        The score is the projected load; lower is better.
+        The score is the projected load; lower is better. On a target of another speed
+        than usual it grows with the time that the request would take there.
 
         Parameters
         ----------
@@ -253,7 +311,28 @@
             Name of a known target.
         candidate : LedgerEntry
             Predicted cache use of the request.
+        now : float
+            Monotonic clock, seconds.
         """
+        load = self._project_load(request, target, candidate)
+        speed = self._find_speed(target, now)
+        if load is None or speed == USUAL_SPEED:
+            return load
+        prompt = 0 if request.is_running else self._unread(request, target)
+        running = self._ledgers[target].count
+        slowdown = speed.slowdown(prompt, candidate.remaining, running)
+        return _scale(load, slowdown)
+
+    def fits(
+        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+    ) -> bool:
+        """Return whether a target has room for a request."""
+        return self._project_load(request, target, candidate) is not None
+
+    def _project_load(
+        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+    ) -> float | None:
+        """Return the load of a target with a request added, ``None`` if it is full."""
         tuning = self._tuning
         ledger = self._ledgers[target]
         if not self.has_slot(request, target):
@@ -355,5 +434,13 @@
         return any(endpoints & used for used in self._transfers.values())
 
 
+def _scale(load: float, slowdown: float) -> float:
+    """Return a load weighted by how slow its target is.
+
+    A cached prefix that saves more than the rest of the load gives a negative one.
+    """
+    return load * slowdown if load > 0 else load / slowdown
+
+
 def _find_rejection_user(user: RateUser) -> RejectionUser:
     return RejectionUser("" if user.is_owner else user.name)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -421,13 +421,13 @@
         for number in range(waiting):
             group.ask(request(f"w{number}", prompt=34_000, max_tokens=400))
         scored: list[str] = []
-        score = TargetGroup.score
+        project = TargetGroup._project_load  # both scores and fits are counted
 
         def count(self: TargetGroup, request: Any, target: str, entry: Any) -> Any:
             scored.append(target)
-            return score(self, request, target, entry)
+            return project(self, request, target, entry)
 
-        monkeypatch.setattr(TargetGroup, "score", count)
+        monkeypatch.setattr(TargetGroup, "_project_load", count)
         group.store(group.group.dispatch(1.0))
         assert len(scored) <= 2 * waiting * engines
 
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -21,21 +21,33 @@
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
 from heathertack.policy._target_loss_counter import TargetLossCounter
+from heathertack.policy._target_speed import (
+    REFERENCE_TARGET,
+    USUAL_SPEED,
+    GenerationProgress,
+    ReferenceTarget,
+    TargetSpeed,
+    TargetSpeeds,
+)
 from heathertack.policy._tuning import ADMISSION_TUNING, AdmissionTuning
 
 __all__ = [
     "ADMISSION_TUNING",
     "BLOCK_TOKENS",
+    "REFERENCE_TARGET",
+    "USUAL_SPEED",
     "AdmissionTuning",
     "CrashCause",
     "ExecutionRecord",
     "FairQueue",
+    "GenerationProgress",
     "LedgerEntry",
     "LengthEstimator",
     "LostRun",
     "PrefixIndex",
     "QueuedItem",
     "RateUser",
+    "ReferenceTarget",
     "RejectionBounds",
     "RejectionUser",
     "RequestRates",
@@ -44,6 +56,8 @@
     "SendOutcome",
     "TargetLedger",
     "TargetLossCounter",
+    "TargetSpeed",
+    "TargetSpeeds",
     "choose_owner",
     "digest_prefixes",
     "find_crash_causes",
--- /dev/null
+++ b/packages/heathertack/src/heathertack/policy/_target_speed.py
@@ -0,0 +1,326 @@
+"""Estimates of the speeds of targets from the progress of their generations."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from statistics import median
+from typing import NamedTuple
+
+#: Age at which a measurement no longer counts, seconds. A few slow periods of 0.6 s
+#: don't matter among those of this time, and a changed speed is noticed soon.
+_WINDOW_SECONDS = 12.0
+#: Measurements within this time count as one, seconds. Engines have slow periods of
+#: this length.
+_PERIOD_SECONDS = 0.6
+#: Periods with measurements of steps without which the speed of steps is unknown.
+_MIN_STEP_PERIODS = 6
+#: The same for prompts. A prompt may be read within one slow period, whereas steps are
+#: measured over longer; with 6 periods, some equal targets seemed slow.
+_MIN_PROMPT_PERIODS = 8
+#: Quantile of the measurements that is the speed. Above the median, because engines
+#: have slow periods but no fast ones.
+_QUANTILE = 0.7
+#: Measurements of each kind that are kept for each target.
+_MAX_MEASUREMENTS = 48
+#: Shortest time over which steps are measured, seconds. Over less, the delays of
+#: messages and prompts that were read in between distort the result.
+_MIN_STEP_SECONDS = 0.7
+#: Targets whose speeds must be known before they are compared.
+_MIN_COMPARED_TARGETS = 2
+#: Speeds within this factor of the usual one count as equal to it. Measurements of
+#: equal targets with slow periods of 0.6 s stay within it.
+_EQUAL_WITHIN = 1.35
+#: Bounds of a relative speed.
+_MIN_SPEED = 0.25
+_MAX_SPEED = 4.0
+#: Interval at which speeds are computed again, seconds.
+_UPDATE_INTERVAL_SECONDS = 0.25
+
+
+class ReferenceTarget(NamedTuple):
+    """Durations on a target of speed 1, with which progress is compared.
+
+    Only the proportions matter, because speeds are relative to those of the other
+    targets of the group.
+    """
+
+    #: Fixed duration of a step, seconds.
+    step: float = 0.007
+    #: Added to a step for each running generation, seconds.
+    per_generation: float = 0.00012
+    #: Time for each prompt token that is read, seconds.
+    per_prompt_token: float = 1.0 / 14_000
+    #: Prompt tokens that are read in one step.
+    prompt_tokens_per_step: int = 512
+
+    def read_seconds(self, prompt_tokens: int, running: float) -> float:
+        """Return the time to read prompts between the steps of running generations."""
+        steps = -(-prompt_tokens // self.prompt_tokens_per_step)
+        work = prompt_tokens * self.per_prompt_token
+        return work + steps * self.step_seconds(running)
+
+    def step_seconds(self, running: float) -> float:
+        """Return the duration of a step with a number of running generations."""
+        return self.step + self.per_generation * running
+
+
+REFERENCE_TARGET = ReferenceTarget()
+
+
+class TargetSpeed(NamedTuple):
+    """Speeds of a target relative to the usual ones of its group."""
+
+    #: Speed of reading prompts.
+    prompt: float = 1.0
+    #: Speed of steps.
+    step: float = 1.0
+
+    def slowdown(
+        self, prompt_tokens: int, generated_tokens: int, running: int
+    ) -> float:
+        """Return the duration of a request relative to a target of speed 1.
+
+        Parameters
+        ----------
+        prompt_tokens : int
+            Prompt tokens that have to be read.
+        generated_tokens : int
+            Predicted length of the answer, tokens.
+        running : int
+            Number of other generations on the target.
+        """
+        if self == USUAL_SPEED:
+            return 1.0
+        read = REFERENCE_TARGET.read_seconds(prompt_tokens, running)
+        steps = generated_tokens * REFERENCE_TARGET.step_seconds(running + 1)
+        total = read + steps
+        if total <= 0:
+            return 1.0
+        return (read / self.prompt + steps / self.step) / total
+
+
+#: Speed of targets whose measurements are missing or like those of the others.
+USUAL_SPEED = TargetSpeed()
+
+
+class GenerationProgress(NamedTuple):
+    """Progress of a generation, and the load of its target."""
+
+    #: Prompt tokens that the target had to read.
+    prompt_tokens: int
+    #: Tokens generated so far.
+    generated_tokens: int
+    #: Number of generations on the target.
+    running: int
+
+
+class _Measurement(NamedTuple):
+    at: float
+    #: Reference duration divided by the measured one.
+    speed: float
+
+
+class _Generation(NamedTuple):
+    """What the next report of a generation is compared with."""
+
+    target: str
+    #: Prompt tokens that the target has to read before the first token, with those of
+    #: other generations ahead; 0 after the first token, or if unknown.
+    unread_tokens: int
+    generated_tokens: int
+    since: float
+    #: Prompt tokens that the target had read for all its generations.
+    read_tokens: int
+
+
+class _Measurements:
+    """Latest measurements of one target."""
+
+    def __init__(self) -> None:
+        self.prompt: deque[_Measurement] = deque(maxlen=_MAX_MEASUREMENTS)
+        self.step: deque[_Measurement] = deque(maxlen=_MAX_MEASUREMENTS)
+        #: Prompt tokens read so far.
+        self.read_tokens = 0
+
+
+class TargetSpeeds:
+    """Speeds of the targets of a group.
+
+    A measurement compares the time between two reports of a generation with the time
+    that a target of speed 1 takes for the same work: the steps, and the prompts that
+    were read in between. The median over several seconds leaves out slow periods.
+    """
+
+    def __init__(self) -> None:
+        self._measurements: dict[str, _Measurements] = {}
+        self._generations: dict[str, _Generation] = {}
+        self._speeds: dict[str, TargetSpeed] = {}
+        self._updated_at = float("-inf")
+
+    def record_sent(
+        self, generation_id: str, target: str, unread_tokens: int, now: float
+    ) -> None:
+        """Record that a request is about to be sent to a target.
+
+        Parameters
+        ----------
+        generation_id : str
+            Id of the request.
+        target : str
+            Name of the target.
+        unread_tokens : int
+            Prompt tokens that the target reads before the first token of the request,
+            with those of earlier requests; 0 if its first token measures nothing.
+        now : float
+            Monotonic clock, seconds.
+        """
+        read_tokens = self._of(target).read_tokens
+        self._generations[generation_id] = _Generation(
+            target, unread_tokens, 0, now, read_tokens
+        )
+
+    def record_progress(
+        self, generation_id: str, target: str, progress: GenerationProgress, now: float
+    ) -> None:
+        """Record the progress of a generation.
+
+        Parameters
+        ----------
+        generation_id : str
+            Id of the request.
+        target : str
+            Target that runs it.
+        progress : GenerationProgress
+            Its progress.
+        now : float
+            Monotonic clock, seconds.
+        """
+        if not progress.generated_tokens:
+            return
+        earlier = self._generations.get(generation_id)
+        measurements = self._of(target)
+        if earlier is not None and earlier.target == target:
+            if not earlier.generated_tokens:
+                _measure_prompt(measurements, earlier, progress, now)
+            elif now - earlier.since < _MIN_STEP_SECONDS:
+                return
+            else:
+                _measure_steps(measurements, earlier, progress, now)
+        self._generations[generation_id] = _Generation(
+            target, 0, progress.generated_tokens, now, measurements.read_tokens
+        )
+
+    def record_ended(self, generation_id: str) -> None:
+        """Record that a request has left its target."""
+        self._generations.pop(generation_id, None)
+
+    def forget(self, target: str) -> None:
+        """Forget a target that no longer exists."""
+        self._measurements.pop(target, None)
+
+    def find(self, target: str, now: float) -> TargetSpeed:
+        """Return the speed of a target relative to the others, 1 if it is unknown."""
+        if now - self._updated_at >= _UPDATE_INTERVAL_SECONDS:
+            self._updated_at = now
+            self._update(now)
+        return self._speeds.get(target, USUAL_SPEED)
+
+    def _update(self, now: float) -> None:
+        silent = now - _WINDOW_SECONDS
+        for key, generation in tuple(self._generations.items()):
+            if generation.since < silent:
+                del self._generations[key]
+        prompts: dict[str, float | None] = {}
+        steps: dict[str, float | None] = {}
+        for target, kinds in self._measurements.items():
+            prompts[target] = _estimate(kinds.prompt, _MIN_PROMPT_PERIODS, now)
+            steps[target] = _estimate(kinds.step, _MIN_STEP_PERIODS, now)
+        usual_step = _find_usual(steps.values())
+        # Targets with much work are the first whose prompts are known. They may be the
+        # fast ones, so that their prompts are compared with their steps.
+        usual_prompt = _find_usual(
+            prompt * usual_step / step
+            for target, prompt in prompts.items()
+            if prompt and usual_step and (step := steps[target])
+        ) or _find_usual(prompts.values())
+        self._speeds = {}
+        for target in self._measurements:
+            prompt = _compare(prompts[target], usual_prompt)
+            step = _compare(steps[target], usual_step)
+            if prompt is None and step is None:
+                continue
+            speed = TargetSpeed(prompt or step or 1.0, step or prompt or 1.0)
+            if speed != USUAL_SPEED:
+                self._speeds[target] = speed
+
+    def _of(self, target: str) -> _Measurements:
+        return self._measurements.setdefault(target, _Measurements())
+
+
+def _measure_prompt(
+    measurements: _Measurements,
+    earlier: _Generation,
+    progress: GenerationProgress,
+    now: float,
+) -> None:
+    """Add a measurement at the first token of a generation."""
+    measurements.read_tokens += progress.prompt_tokens
+    elapsed = now - earlier.since
+    if earlier.unread_tokens and elapsed > 0:
+        expected = REFERENCE_TARGET.read_seconds(
+            earlier.unread_tokens, progress.running
+        )
+        measurements.prompt.append(_Measurement(now, expected / elapsed))
+
+
+def _measure_steps(
+    measurements: _Measurements,
+    earlier: _Generation,
+    progress: GenerationProgress,
+    now: float,
+) -> None:
+    """Add a measurement of the steps between two reports of a generation."""
+    steps = progress.generated_tokens - earlier.generated_tokens
+    if steps <= 0:
+        return
+    read = measurements.read_tokens - earlier.read_tokens
+    expected = steps * REFERENCE_TARGET.step_seconds(progress.running)
+    expected += read * REFERENCE_TARGET.per_prompt_token
+    measurements.step.append(_Measurement(now, expected / (now - earlier.since)))
+
+
+def _estimate(
+    measurements: deque[_Measurement], min_periods: int, now: float
+) -> float | None:
+    """Return the usual measurement of a target, ``None`` if there are too few.
+
+    A slow period affects all generations of a target, so that measurements at the same
+    time count only once.
+    """
+    while measurements and measurements[0].at < now - _WINDOW_SECONDS:
+        measurements.popleft()
+    periods: dict[int, list[float]] = {}
+    for measurement in measurements:
+        period = int(measurement.at / _PERIOD_SECONDS)
+        periods.setdefault(period, []).append(measurement.speed)
+    if len(periods) < min_periods:
+        return None
+    speeds = sorted(median(values) for values in periods.values())
+    return speeds[int(_QUANTILE * len(speeds))]
+
+
+def _find_usual(speeds: Iterable[float | None]) -> float | None:
+    """Return the median speed of the targets, ``None`` if too few are known."""
+    known = [speed for speed in speeds if speed is not None]
+    return median(known) if len(known) >= _MIN_COMPARED_TARGETS else None
+
+
+def _compare(speed: float | None, usual: float | None) -> float | None:
+    """Return a speed relative to the usual one, 1 if they are nearly equal."""
+    if speed is None or not usual:
+        return None
+    ratio = speed / usual
+    if 1 / _EQUAL_WITHIN <= ratio <= _EQUAL_WITHIN:
+        return 1.0
+    return min(max(ratio, _MIN_SPEED), _MAX_SPEED)
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -50,6 +50,8 @@
     #: Weight of one running generation relative to the filled fraction of the cache.
     #: Each generation slows the others on its target, and all are lost if it fails.
     run_weight: float = 0.02
+    #: Whether targets are chosen by their speeds where these differ.
+    compares_speeds: bool = True
     #: Weight of saved prompt tokens relative to cached tokens in target scores.
     prefix_weight: float = 2.0
     #: Time after which a reservation without progress reports expires, seconds.
