--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -50,6 +50,7 @@
 from heathertack.policy import (
     AdmissionTuning,
     LengthEstimator,
+    TargetSpeed,
     choose_owner,
     group_targets,
     rank_successors,
@@ -118,6 +119,14 @@
         """Groups with state on this instance."""
         return tuple(self._groups.values())
 
+    def list_speeds(self, now: float) -> Mapping[str, TargetSpeed]:
+        """Return the speeds of the owned targets that differ from the others."""
+        speeds: dict[str, TargetSpeed] = {}
+        for group in self._groups.values():
+            if group.name in self._owned_groups:
+                speeds.update(group.list_speeds(now))
+        return speeds
+
     @property
     def watched_targets(self) -> tuple[str, ...]:
         """Targets whose load this instance polls."""
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -34,6 +34,7 @@
     RateUser,
     ReservedQuantile,
     TargetLossCounter,
+    TargetSpeed,
 )
 
 _LOSSES_TO_QUARANTINE = 2
@@ -112,6 +113,10 @@
         """Targets that accept new requests."""
         return tuple(sorted(self._targets.usable))
 
+    def list_speeds(self, now: float) -> Mapping[str, TargetSpeed]:
+        """Return the speeds of the targets that differ from the others."""
+        return self._targets.list_speeds(now)
+
     def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
         """Set the targets that accept new requests, with their capacities."""
         self._targets.set_capacities(capacities)
@@ -267,15 +272,12 @@
         is_bounded = self._targets.is_bounded(held.target)
         if is_bounded and release.outcome is ReservationOutcome.REJECTED:
             return  # its places are known better than by the outcome alone
-        if release.outcome in _AVOIDANCE_SECONDS_BY_OUTCOME:
-            duration = _AVOIDANCE_SECONDS_BY_OUTCOME[release.outcome]
-            self._targets.avoid(held.target, now + duration)
+        self._targets.avoid_after(release.outcome, held.target, now)
 
     def record_target_loss(self, loss: ReservationBlame, now: float) -> None:
         """Record that a target failed while it ran a request."""
         self._losses.record_loss(loss.fingerprint, now)
-        duration = _AVOIDANCE_SECONDS_BY_OUTCOME[ReservationOutcome.TARGET_LOST]
-        self._targets.avoid(loss.target, now + duration)
+        self._targets.avoid_after(ReservationOutcome.TARGET_LOST, loss.target, now)
 
     def record_load(self, target: str, load: EngineLoad, now: float) -> None:
         """Apply a load report of a target."""
@@ -705,15 +707,6 @@
             self._queue.charge(held.request.account, held.request.share, tokens)
 
 
-#: Time for which a target is avoided after a failure, by outcome.
-_AVOIDANCE_SECONDS_BY_OUTCOME = {
-    ReservationOutcome.ANSWER_LOST: 0.3,
-    ReservationOutcome.TARGET_LOST: 5.0,
-    ReservationOutcome.UNREACHABLE: 2.0,
-    ReservationOutcome.REJECTED: 1.0,
-}
-
-
 def _grant(
     request: ReservationRequest, target: str, reason: str, backup: str = ""
 ) -> ReservationGrant:
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from heathertack.controllers._admission_types import HeldReservation, TargetCapacity
-from heathertack.messages import ReservationRequest
+from heathertack.messages import ReservationOutcome, ReservationRequest
 from heathertack.policy import (
     USUAL_SPEED,
     AdmissionTuning,
@@ -21,6 +21,14 @@
     TargetSpeeds,
 )
 
+#: Time for which a target is avoided after a failure, by outcome.
+_AVOIDANCE_SECONDS_BY_OUTCOME = {
+    ReservationOutcome.ANSWER_LOST: 0.3,
+    ReservationOutcome.TARGET_LOST: 5.0,
+    ReservationOutcome.UNREACHABLE: 2.0,
+    ReservationOutcome.REJECTED: 1.0,
+}
+
 
 class TargetGroup:
     """Ledgers, slots and links of the targets of one group.
@@ -169,6 +177,11 @@
             )
         )
 
+    def list_speeds(self, now: float) -> Mapping[str, TargetSpeed]:
+        """Return the speeds of the targets that differ from the others."""
+        speeds = {target: self._find_speed(target, now) for target in self._usable}
+        return {t: speed for t, speed in speeds.items() if speed != USUAL_SPEED}
+
     def _find_speed(self, target: str, now: float) -> TargetSpeed:
         """Return the speed of a target that its score uses."""
         if not self._tuning.compares_speeds:
@@ -226,6 +239,11 @@
         """Prefer other targets until a point in time."""
         self._avoid_until[target] = until
 
+    def avoid_after(self, outcome: ReservationOutcome, target: str, now: float) -> None:
+        """Prefer other targets for a while after a request that a target failed."""
+        if outcome in _AVOIDANCE_SECONDS_BY_OUTCOME:
+            self.avoid(target, now + _AVOIDANCE_SECONDS_BY_OUTCOME[outcome])
+
     def begin_transfer(self, generation_id: str, endpoints: Iterable[str]) -> None:
         """Mark the links of both endpoints as busy with a KV cache transfer."""
         self._transfers[generation_id] = frozenset(endpoints)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_target_speeds.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_target_speeds.py
@@ -115,3 +115,19 @@
         capacities = {name: TargetCapacity(30_000) for name in ("e0", "e1", "e2", "e3")}
         group.group.set_targets(capacities)
         assert group.ask("g").target == "e0"
+
+
+class TestListedSpeeds:
+    def test_lists_targets_that_differ(self) -> None:
+        group = Group({"e0": 0.6, "e1": 1.0, "e2": 1.6})
+        speeds = group.group.list_speeds(WARM_UP_SECONDS)
+        assert sorted(speeds) == ["e0", "e2"]
+        assert speeds["e0"].step == pytest.approx(0.6, rel=0.05)
+
+    # Guards against speeds of a target that was removed and exists again.
+    def test_a_removed_target_has_no_speed(self) -> None:
+        group = Group({"e0": 0.6, "e1": 1.0, "e2": 1.6})
+        kept = {name: TargetCapacity(30_000) for name in ("e1", "e2")}
+        group.group.set_targets(kept)
+        group.group.set_targets(kept | {"e0": TargetCapacity(30_000)})
+        assert "e0" not in group.group.list_speeds(WARM_UP_SECONDS + 1.0)
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -12,6 +12,7 @@
 from heathertack.policy._prefix_index import BLOCK_TOKENS, PrefixIndex, digest_prefixes
 from heathertack.policy._rejection_bound import RejectionBounds, RejectionUser
 from heathertack.policy._rendezvous import (
+    choose_evenly,
     choose_owner,
     group_targets,
     rank_instances,
@@ -58,6 +59,7 @@
     "TargetLossCounter",
     "TargetSpeed",
     "TargetSpeeds",
+    "choose_evenly",
     "choose_owner",
     "digest_prefixes",
     "find_crash_causes",
--- a/packages/heathertack/src/heathertack/policy/_rendezvous.py
+++ b/packages/heathertack/src/heathertack/policy/_rendezvous.py
@@ -19,6 +19,11 @@
     return max(instances, key=lambda name: _hash_weight(group, name), default=None)
 
 
+def choose_evenly(key: str, targets: Iterable[str]) -> str:
+    """Return one of several targets; keys are spread evenly over them."""
+    return max(targets, key=lambda name: _hash_weight(key, name))
+
+
 def rank_instances(key: str, domains: Mapping[str, str]) -> tuple[str, ...]:
     """Order instances by their weight for a key, with one of each domain first.
 
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -551,6 +551,12 @@
                 "admission_tick",
                 lambda: self._carry_out(self.admission.handle(AdmissionDue(), now)),
             ),
+            (
+                "speed_metrics",
+                lambda: self.metrics.record_speeds(
+                    self.admission.list_speeds(now).values()
+                ),
+            ),
             (
                 "placement_tick",
                 lambda: self._carry_out(self.placement.handle(PlacementDue(), now)),
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from heathertack.policy import TargetSpeed
+
 _MAX_LABELLED_ACCOUNTS = 100
 _OTHER_ACCOUNTS_LABEL = "other"
 _LATENCY_BUCKETS = (0.01, 0.02, 0.035, 0.052, 0.08, 0.12, 0.2, 0.4, 0.64)
@@ -72,6 +76,17 @@
             "Targets that limit the rate of their requests",
             registry=self._registry,
         )
+        self.uneven_targets = Gauge(
+            "heathertack_uneven_targets",
+            "Targets of owned groups that are faster or slower than usual",
+            registry=self._registry,
+        )
+        self.target_speed = Gauge(
+            "heathertack_target_speed",
+            "Speeds of the slowest and the fastest target of owned groups, 1 is usual",
+            ("kind", "bound"),
+            registry=self._registry,
+        )
         self.dropped_events = Counter(
             "heathertack_dropped_events",
             "Events of engines that were not delivered",
@@ -138,6 +153,16 @@
             return account
         return _OTHER_ACCOUNTS_LABEL
 
+    def record_speeds(self, speeds: Iterable[TargetSpeed]) -> None:
+        """Set the metrics of the targets that are faster or slower than usual."""
+        uneven = tuple(speeds)
+        self.uneven_targets.set(len(uneven))
+        for kind in ("prompt", "step"):
+            # Targets of the usual speed are not listed.
+            values = (1.0, *(getattr(speed, kind) for speed in uneven))
+            self.target_speed.labels(kind, "slowest").set(min(values))
+            self.target_speed.labels(kind, "fastest").set(max(values))
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
