Spread the requests of instances without an owner evenly over targets

Cause: such an instance chose the first by name of the targets with the fewest of its own requests. Most of many instances have no request on most targets, so that all of them used the same one.

Change: ties are decided by a hash of the request and the target.

--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/__main__.py
@@ -7,6 +7,7 @@
   --seeds=N      runs of each combination [default: 5]
   --processes=N  runs in parallel [default: 6]
   --quick        only our policy and two others, at two loads
+  --uneven       only engines of different speeds
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 )
 from heathertack_fakes.measure._routers import ROUTERS
 from heathertack_fakes.measure._statistics import RunFigures, median_of, range_of
+from heathertack_fakes.measure._uneven_tables import print_uneven
 from heathertack_fakes.measure._workloads import WORKLOADS
 
 _LOADS = (0.6, 0.85, 1.0, 1.3)
@@ -205,6 +207,9 @@
     options = docopt(__doc__ or "")
     seeds = int(options["--seeds"])
     processes = int(options["--processes"])
+    if options["--uneven"]:
+        print_uneven(seeds, processes)
+        return 0
     for workload in WORKLOADS:
         capacity = WORKLOADS[workload].capacity
         measured = measure_capacity(workload)
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_entry_routers.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_entry_routers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
+from collections import Counter, deque
 from typing import Protocol
 
 from heathertack_fakes.measure._simulation import Simulation
@@ -36,6 +36,19 @@
         #: Position in the round-robin order, initially random.
         self.round_robin_position = rng.randrange(100)
         self._simulation = simulation
+        self._sent_at: dict[int, deque[float]] = {}
+
+    def record_sent(self, engine: int) -> None:
+        """Record that the entry sends a request to an engine."""
+        self._sent_at.setdefault(engine, deque()).append(self._simulation.now)
+
+    def expected_load(self, engine: int) -> int:
+        """Return the reported load and the requests sent since the report."""
+        sent_at = self._sent_at.get(engine, deque())
+        reported_at = self._simulation.now - self._simulation.report_age(engine)
+        while sent_at and sent_at[0] <= reported_at:
+            sent_at.popleft()
+        return self.reported_load(engine) + len(sent_at)
 
     def reported_load(self, engine: int) -> int:
         """Return the reported number of requests of an engine, 0 without a report."""
@@ -77,6 +90,60 @@
         return min(drawn, key=view.reported_load)
 
 
+class LeastOwnByNameChooser:
+    """Chooses as an instance without an admission owner did: names break ties."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return the first engine with the fewest requests in progress."""
+        return min(engines, key=lambda e: (view.outstanding[e], e))
+
+
+class TwoOwnChoicesChooser:
+    """Chooses the engine with fewer requests of the entry of two random ones."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return the engine with fewer requests in progress of two random ones."""
+        drawn = view.rng.sample(engines, min(2, len(engines)))
+        return min(drawn, key=lambda e: view.outstanding[e])
+
+
+class RandomChooser:
+    """Chooses engines in equal shares, because they have equal capacities."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return a random engine."""
+        return view.rng.choice(engines)
+
+
+class ExpectedLoadChooser:
+    """Chooses by the report with the entry's own sends on top."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return the engine with the lowest expected load."""
+        return min(engines, key=lambda e: (view.expected_load(e), view.rng.random()))
+
+
+class TwoExpectedLoadsChooser:
+    """Chooses the better of two random engines, own sends on top of the report."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return the engine with the lower expected load of two random ones."""
+        drawn = view.rng.sample(engines, min(2, len(engines)))
+        return min(drawn, key=view.expected_load)
+
+
+class WaterFillingChooser:
+    """Chooses randomly with the shares that would level the expected loads."""
+
+    def choose(self, view: EntryView, engines: list[int]) -> int:
+        """Return a random engine, with its room below the level as the weight."""
+        loads = [view.expected_load(engine) for engine in engines]
+        # The requests of about one second fill the engines up to the level.
+        level = (sum(loads) + len(engines)) / len(engines)
+        room = [max(level - load, 0.0) for load in loads]
+        return view.rng.choices(engines, room)[0]
+
+
 class EntryRouter:
     """Sends each request to the engine that its entry chooses.
 
@@ -110,6 +177,7 @@
         view = self._views[arrival.entry]
         engine = self._chooser.choose(view, alive or list(self._simulation.alive))
         view.outstanding[engine] += 1
+        view.record_sent(engine)
         self._simulation.submit(arrival, engine)
 
     def on_tokens(self, arrival: Arrival, engine: int, generated_tokens: int) -> None:
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_simulation.py
@@ -215,6 +215,12 @@
             return None
         return reports[0][1]
 
+    def report_age(self, engine: int) -> float:
+        """Return the age of the report that `report` returns, seconds."""
+        if self.report(engine) is None:
+            return self.now
+        return self.now - self._engines[engine].reports[0][0]
+
     def kill_engine(self, engine: int) -> None:
         """Fail an engine; its requests with generated tokens are recorded as lost."""
         simulated = self._engines[engine]
--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_uneven.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_uneven.py
@@ -11,6 +11,18 @@
 
 from heathertack.policy import AdmissionTuning
 from heathertack_fakes._engine_model import EngineSize, EngineSpeed
+from heathertack_fakes.measure._entry_routers import (
+    EngineChooser,
+    EntryRouter,
+    ExpectedLoadChooser,
+    LeastOutstandingChooser,
+    LeastOwnByNameChooser,
+    LeastReportedChooser,
+    RandomChooser,
+    TwoExpectedLoadsChooser,
+    TwoOwnChoicesChooser,
+    WaterFillingChooser,
+)
 from heathertack_fakes.measure._reservation_routers import ReservationRouter
 from heathertack_fakes.measure._simulation import Simulation
 from heathertack_fakes.measure._statistics import quantile
@@ -39,6 +51,19 @@
 _DELAY_SECONDS = 0.002
 
 
+#: Policies without an owner, by name.
+CHOOSERS: dict[str, EngineChooser] = {
+    "own requests, ties by name": LeastOwnByNameChooser(),
+    "own requests, random ties": LeastOutstandingChooser(),
+    "own requests, two choices": TwoOwnChoicesChooser(),
+    "equal shares": RandomChooser(),
+    "last report": LeastReportedChooser(),
+    "report and own sends": ExpectedLoadChooser(),
+    "report and own sends, two choices": TwoExpectedLoadsChooser(),
+    "water-filling": WaterFillingChooser(),
+}
+
+
 class UnevenRun(NamedTuple):
     """Parameters of one run."""
 
@@ -49,6 +74,12 @@
     is_even: bool = False
     has_slow_periods: bool = True
     piece_tokens: int = 256
+    #: Name in `CHOOSERS`, or reservations at an owner.
+    policy: str = "reservations"
+    #: Number of entry instances.
+    entries: int = 78
+    #: Age of the load reports that entries and owners receive, seconds.
+    report_age: float = 1.0
     #: Time for which requests arrive, seconds.
     until: float = 91.0
 
@@ -90,7 +121,7 @@
     simulation = Simulation(
         ENGINES,
         _SIZE._replace(piece_tokens=run.piece_tokens),
-        1.0,
+        run.report_age,
         _WARM_UP_SECONDS,
         speed=_SPEED,
         tokens_per_event=_TOKENS_PER_EVENT,
@@ -105,7 +136,12 @@
 
     draw_slow_periods()
     simulation.every(_SLOW_PERIOD_SECONDS, draw_slow_periods)
-    router = ReservationRouter(simulation, _DELAY_SECONDS, run.tuning)
+    chooser = CHOOSERS.get(run.policy)
+    router = (
+        ReservationRouter(simulation, _DELAY_SECONDS, run.tuning)
+        if chooser is None
+        else EntryRouter(simulation, chooser, run.entries, run.seed)
+    )
     simulation.run(arrivals, router, run.until)
     return simulation, arrivals
 
@@ -152,7 +188,7 @@
                 kind.prompt[0],
                 events * _TOKENS_PER_EVENT,
                 (),
-                0,
+                rng.randrange(run.entries),
             )
         )
     return tuple(arrivals)
--- a/packages/heathertack/src/heathertack/controllers/_local_target_chooser.py
+++ b/packages/heathertack/src/heathertack/controllers/_local_target_chooser.py
@@ -22,7 +22,13 @@
     ReservationOutcome,
     ReservationRequest,
 )
-from heathertack.policy import RateUser, RejectionBounds, RejectionUser, RequestRates
+from heathertack.policy import (
+    RateUser,
+    RejectionBounds,
+    RejectionUser,
+    RequestRates,
+    choose_evenly,
+)
 
 #: Maximum delay after which a refused caller is asked to return, seconds.
 _MAX_RETRY_SECONDS = 60.0
@@ -57,7 +63,10 @@
     def choose(
         self, request: ReservationRequest, counts: Mapping[str, int], now: float
     ) -> TargetChosen | PlacementDenied:
-        """Return the target with the fewest generations of this instance.
+        """Return a target with the fewest generations of this instance.
+
+        Several such targets are used evenly. An instance has few generations, so that
+        most targets have none of it, and other instances choose at the same time.
 
         Parameters
         ----------
@@ -92,7 +101,9 @@
         if not names:
             retry_after = _NO_TARGET_RETRY_SECONDS
             return build_denial(request, "no_target", retry_after, "no target is live")
-        target = min(names, key=lambda name: (counts.get(name, 0), name))
+        fewest = min(counts.get(name, 0) for name in names)
+        least_used = (name for name in names if counts.get(name, 0) == fewest)
+        target = choose_evenly(request.generation_id, least_used)
         self._rates.spend(target, user, now)
         self._bounds.record_sent(
             target, sender, request.generation_id, counts.get(target, 0), now
--- a/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_placement.py
@@ -185,6 +185,31 @@
         (chosen,) = entry.handle(PlacementDue(), 1.3)
         assert isinstance(chosen, TargetChosen)
 
+    # Load pattern: many instances without an owner that have one request each. With
+    # ties by name, all of them use the same target.
+    def test_instances_without_an_owner_use_all_targets(self) -> None:
+        chosen: list[str] = []
+        for number in range(78):
+            entry = Entry(engines=22)
+            entry.set_members(())
+            requested = PlacementRequested(request(f"g{number}"))
+            (choice,) = entry.handle(requested)
+            assert isinstance(choice, TargetChosen)
+            chosen.append(choice.target)
+        assert len(set(chosen)) >= 18
+        assert max(chosen.count(name) for name in chosen) <= 12
+
+    def test_instance_without_an_owner_uses_all_targets_in_turn(self) -> None:
+        entry = Entry(engines=22)
+        entry.set_members(())
+        chosen: set[str] = set()
+        for number in range(22):
+            requested = PlacementRequested(request(f"g{number}"))
+            (choice,) = entry.handle(requested)
+            assert isinstance(choice, TargetChosen)
+            chosen.add(choice.target)
+        assert len(chosen) == 22
+
     def test_releases_a_grant_that_no_generation_waits_for(self) -> None:
         entry = Entry()
         late = ReservationGrant("gone", 1, "e1", "free", group="tutor:0")
