Prefer fast engines for long streams rather than for all

Cause: streams pause for more than 180 ms when prompts of others are read in a slow period of their engine, which happens least on fast engines. All requests preferred these equally, so that short ones, of which mostly a prompt is read, disturbed long ones there.

Change: the cost of a request counts the time of its steps by the square, and the time to read its prompt once.

--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_uneven.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_uneven.py
@@ -103,6 +103,9 @@
     busiest: float
     #: Seconds that a long stream takes.
     duration: float
+    #: Time to the first event of short streams, seconds.
+    short_p50: float
+    short_p95: float
 
 
 def run_uneven(run: UnevenRun) -> UnevenFigures:
@@ -207,6 +210,13 @@
     total = max(len(wanted), 1)
     firsts = [s.first_at - s.arrival.at for s in long]
     firsts += [_LONG_DEADLINE_SECONDS] * (total - len(long))
+    short = [
+        served[a.generation_id].first_at - a.at
+        if a.generation_id in served
+        else _LONG_DEADLINE_SECONDS
+        for a in sent
+        if a.request_class is _SHORT
+    ]
     late = {
         s.arrival.generation_id
         for s in long
@@ -245,4 +255,6 @@
             for s in long
             if s.arrival.generation_id in ended
         ),
+        short_p50=quantile(short, 0.5),
+        short_p95=quantile(short, 0.95),
     )
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -299,12 +299,12 @@
             load = ledger.cached - weight * saved + run_penalty
             speed = self._find_speed(target, now)
             if speed != USUAL_SPEED:
-                slowdown = speed.slowdown(
+                cost = speed.find_cost(
                     request.prompt_tokens, request.max_tokens, ledger.count
                 )
                 # An empty target is used for the request at least.
                 own = request.prompt_tokens
-                load = _scale(load + own, slowdown) - own
+                load = _scale(load + own, cost) - own
             return (load, target)
 
         return sorted(self.list_candidates(request, user, now, paused), key=rank)
@@ -319,7 +319,7 @@
         """Return the score of a target with a request added, ``None`` if it is full.
 
         The score is the projected load; lower is better. On a target of another speed
-        than usual it grows with the time that the request would take there.
+        than usual it is weighted by the cost of the request there.
 
         Parameters
         ----------
@@ -338,8 +338,8 @@
             return load
         prompt = 0 if request.is_running else self._unread(request, target)
         running = self._ledgers[target].count
-        slowdown = speed.slowdown(prompt, candidate.remaining, running)
-        return _scale(load, slowdown)
+        cost = speed.find_cost(prompt, candidate.remaining, running)
+        return _scale(load, cost)
 
     def fits(
         self, request: ReservationRequest, target: str, candidate: LedgerEntry
@@ -452,12 +452,12 @@
         return any(endpoints & used for used in self._transfers.values())
 
 
-def _scale(load: float, slowdown: float) -> float:
-    """Return a load weighted by how slow its target is.
+def _scale(load: float, cost: float) -> float:
+    """Return a load weighted by the cost of a request.
 
     A cached prefix that saves more than the rest of the load gives a negative one.
     """
-    return load * slowdown if load > 0 else load / slowdown
+    return load * cost if load > 0 else load / cost
 
 
 def _find_rejection_user(user: RateUser) -> RejectionUser:
--- a/packages/heathertack/src/heathertack/policy/_target_speed.py
+++ b/packages/heathertack/src/heathertack/policy/_target_speed.py
@@ -76,10 +76,14 @@
     #: Speed of steps.
     step: float = 1.0
 
-    def slowdown(
+    def find_cost(
         self, prompt_tokens: int, generated_tokens: int, running: int
     ) -> float:
-        """Return the duration of a request relative to a target of speed 1.
+        """Return the cost of a request relative to a target of speed 1.
+
+        Prompts cost the time in which they are read. Steps cost the square of their
+        time: a stream takes longer on a slow target, and each of its steps waits longer
+        while prompts of others are read.
 
         Parameters
         ----------
@@ -97,7 +101,7 @@
         total = read + steps
         if total <= 0:
             return 1.0
-        return (read / self.prompt + steps / self.step) / total
+        return (read / self.prompt + steps / self.step**2) / total
 
 
 #: Speed of targets whose measurements are missing or like those of the others.
