Learn speeds sooner, and keep reports of busy targets for as long as others

Cause: 48 measurements were kept for each target, so that those of a target with many streams covered less than the 6 periods that a speed needs, and its speed was never known.

Change: measurements are kept by period. Prompts of fewer than 1,024 tokens are not measured. A target that is faster than usual is known after 3 periods, and the usual speed when half of the measured targets are known. Of two targets, the faster one is the usual one; with their mean, neither differed enough.

--- a/packages/heathertack/src/heathertack/policy/_target_speed.py
+++ b/packages/heathertack/src/heathertack/policy/_target_speed.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
-from statistics import median
+from statistics import median, median_high
 from typing import NamedTuple
 
 #: Age at which a measurement no longer counts, seconds. A few slow periods of 0.6 s
@@ -18,15 +17,22 @@
 #: The same for prompts. A prompt may be read within one slow period, whereas steps are
 #: measured over longer; with 6 periods, some equal targets seemed slow.
 _MIN_PROMPT_PERIODS = 8
+#: Periods after which a target may count as fast. Slow periods make no target seem
+#: fast.
+_MIN_FAST_PERIODS = 3
+#: Prompt tokens whose reading is measured. For fewer, the wait for the end of the
+#: current step matters more than the speed.
+_MIN_READ_TOKENS = 1024
 #: Quantile of the measurements that is the speed. Above the median, because engines
 #: have slow periods but no fast ones.
 _QUANTILE = 0.7
-#: Measurements of each kind that are kept for each target.
-_MAX_MEASUREMENTS = 48
+#: Measurements of one period that are kept.
+_MAX_MEASUREMENTS = 8
 #: Shortest time over which steps are measured, seconds. Over less, the delays of
 #: messages and prompts that were read in between distort the result.
 _MIN_STEP_SECONDS = 0.7
-#: Targets whose speeds must be known before they are compared.
+#: Targets whose speeds must be known before they are compared. It must also be half of
+#: those with measurements, because fast targets are known first.
 _MIN_COMPARED_TARGETS = 2
 #: Speeds within this factor of the usual one count as equal to it. Measurements of
 #: equal targets with slow periods of 0.6 s stay within it.
@@ -119,10 +125,37 @@
     running: int
 
 
-class _Measurement(NamedTuple):
-    at: float
-    #: Reference duration divided by the measured one.
+class _Estimate(NamedTuple):
+    #: Reference durations divided by the measured ones.
     speed: float
+    #: Number of periods with measurements.
+    periods: int
+
+
+class _Periods:
+    """Measurements of one kind of work of one target, by period."""
+
+    def __init__(self) -> None:
+        self._periods: dict[int, list[float]] = {}
+
+    def add(self, expected: float, elapsed: float, now: float) -> None:
+        """Add a measurement of work with an expected and a measured duration."""
+        speeds = self._periods.setdefault(int(now / _PERIOD_SECONDS), [])
+        if elapsed > 0 and len(speeds) < _MAX_MEASUREMENTS:
+            speeds.append(expected / elapsed)
+
+    def estimate(self, now: float) -> _Estimate | None:
+        """Return the usual measurement, ``None`` without any.
+
+        A slow period affects all generations of a target, so that measurements at the
+        same time count only once.
+        """
+        oldest = (now - _WINDOW_SECONDS) / _PERIOD_SECONDS
+        self._periods = {p: s for p, s in self._periods.items() if s and p >= oldest}
+        if not self._periods:
+            return None
+        speeds = sorted(median(values) for values in self._periods.values())
+        return _Estimate(speeds[int(_QUANTILE * len(speeds))], len(speeds))
 
 
 class _Generation(NamedTuple):
@@ -142,8 +175,8 @@
     """Latest measurements of one target."""
 
     def __init__(self) -> None:
-        self.prompt: deque[_Measurement] = deque(maxlen=_MAX_MEASUREMENTS)
-        self.step: deque[_Measurement] = deque(maxlen=_MAX_MEASUREMENTS)
+        self.prompt = _Periods()
+        self.step = _Periods()
         #: Prompt tokens read so far.
         self.read_tokens = 0
 
@@ -235,26 +268,32 @@
         for key, generation in tuple(self._generations.items()):
             if generation.since < silent:
                 del self._generations[key]
-        prompts: dict[str, float | None] = {}
-        steps: dict[str, float | None] = {}
-        for target, kinds in self._measurements.items():
-            prompts[target] = _estimate(kinds.prompt, _MIN_PROMPT_PERIODS, now)
-            steps[target] = _estimate(kinds.step, _MIN_STEP_PERIODS, now)
-        usual_step = _find_usual(steps.values())
+        prompts: dict[str, _Estimate] = {}
+        steps: dict[str, _Estimate] = {}
+        for target, measurements in self._measurements.items():
+            if prompt := measurements.prompt.estimate(now):
+                prompts[target] = prompt
+            if step := measurements.step.estimate(now):
+                steps[target] = step
+        known = {t for t, step in steps.items() if step.periods >= _MIN_STEP_PERIODS}
+        usual_step = _find_usual((steps[t].speed for t in known), len(steps))
+        known_prompts = {
+            target: prompt.speed
+            for target, prompt in prompts.items()
+            if prompt.periods >= _MIN_PROMPT_PERIODS
+        }
         # Targets with much work are the first whose prompts are known. They may be the
         # fast ones, so that their prompts are compared with their steps.
         usual_prompt = _find_usual(
-            prompt * usual_step / step
-            for target, prompt in prompts.items()
-            if prompt and usual_step and (step := steps[target])
-        ) or _find_usual(prompts.values())
+            speed * usual_step / steps[target].speed
+            for target, speed in known_prompts.items()
+            if usual_step and target in known
+        ) or _find_usual(known_prompts.values(), len(prompts))
         self._speeds = {}
         for target in self._measurements:
-            prompt = _compare(prompts[target], usual_prompt)
-            step = _compare(steps[target], usual_step)
-            if prompt is None and step is None:
-                continue
-            speed = TargetSpeed(prompt or step or 1.0, step or prompt or 1.0)
+            read = _compare(prompts.get(target), usual_prompt, _MIN_PROMPT_PERIODS)
+            decode = _compare(steps.get(target), usual_step, _MIN_STEP_PERIODS)
+            speed = TargetSpeed(read or decode or 1.0, decode or read or 1.0)
             if speed != USUAL_SPEED:
                 self._speeds[target] = speed
 
@@ -271,11 +310,11 @@
     """Add a measurement at the first token of a generation."""
     measurements.read_tokens += progress.prompt_tokens
     elapsed = now - earlier.since
-    if earlier.unread_tokens and elapsed > 0:
+    if earlier.unread_tokens >= _MIN_READ_TOKENS:
         expected = REFERENCE_TARGET.read_seconds(
             earlier.unread_tokens, progress.running
         )
-        measurements.prompt.append(_Measurement(now, expected / elapsed))
+        measurements.prompt.add(expected, elapsed, now)
 
 
 def _measure_steps(
@@ -291,40 +330,32 @@
     read = measurements.read_tokens - earlier.read_tokens
     expected = steps * REFERENCE_TARGET.step_seconds(progress.running)
     expected += read * REFERENCE_TARGET.per_prompt_token
-    measurements.step.append(_Measurement(now, expected / (now - earlier.since)))
+    measurements.step.add(expected, now - earlier.since, now)
 
 
-def _estimate(
-    measurements: deque[_Measurement], min_periods: int, now: float
-) -> float | None:
-    """Return the usual measurement of a target, ``None`` if there are too few.
+def _find_usual(speeds: Iterable[float], measured: int = 0) -> float | None:
+    """Return the median speed of the targets, ``None`` if too few are known.
 
-    A slow period affects all generations of a target, so that measurements at the same
-    time count only once.
+    Of two targets, the faster one is the usual one.
     """
-    while measurements and measurements[0].at < now - _WINDOW_SECONDS:
-        measurements.popleft()
-    periods: dict[int, list[float]] = {}
-    for measurement in measurements:
-        period = int(measurement.at / _PERIOD_SECONDS)
-        periods.setdefault(period, []).append(measurement.speed)
-    if len(periods) < min_periods:
+    known = tuple(speeds)
+    if len(known) < max(_MIN_COMPARED_TARGETS, measured / 2):
         return None
-    speeds = sorted(median(values) for values in periods.values())
-    return speeds[int(_QUANTILE * len(speeds))]
-
+    return median_high(known)
 
-def _find_usual(speeds: Iterable[float | None]) -> float | None:
-    """Return the median speed of the targets, ``None`` if too few are known."""
-    known = [speed for speed in speeds if speed is not None]
-    return median(known) if len(known) >= _MIN_COMPARED_TARGETS else None
 
+def _compare(
+    estimate: _Estimate | None, usual: float | None, min_periods: int
+) -> float | None:
+    """Return a speed relative to the usual one, 1 if they are nearly equal.
 
-def _compare(speed: float | None, usual: float | None) -> float | None:
-    """Return a speed relative to the usual one, 1 if they are nearly equal."""
-    if speed is None or not usual:
+    Returns ``None`` if there are too few measurements.
+    """
+    if estimate is None or not usual:
+        return None
+    ratio = estimate.speed / usual
+    if ratio > _EQUAL_WITHIN and estimate.periods >= _MIN_FAST_PERIODS:
+        return min(ratio, _MAX_SPEED)
+    if estimate.periods < min_periods:
         return None
-    ratio = speed / usual
-    if 1 / _EQUAL_WITHIN <= ratio <= _EQUAL_WITHIN:
-        return 1.0
-    return min(max(ratio, _MIN_SPEED), _MAX_SPEED)
+    return 1.0 if ratio >= 1 / _EQUAL_WITHIN else max(ratio, _MIN_SPEED)
--- a/packages/heathertack/src/heathertack/policy/tests/test_target_speed.py
+++ b/packages/heathertack/src/heathertack/policy/tests/test_target_speed.py
@@ -141,6 +141,50 @@
                 speeds.record_progress("g" + target, target, progress, float(report))
         assert speeds.find("busy", 12.0) == USUAL_SPEED
 
+    # Guards against many reports at once that push out those of earlier periods.
+    def test_reports_of_many_streams_are_kept_for_as_long_as_those_of_few(self) -> None:
+        speeds = TargetSpeeds()
+        for second in range(12):
+            for target, speed in (("e0", 0.6), ("e1", 1.0), ("e2", 1.0)):
+                for number in range(100):
+                    tokens = 1 + second * speed / REFERENCE_TARGET.step_seconds(100)
+                    progress = GenerationProgress(PROMPT, int(tokens), 100)
+                    key = f"{target}-{number}"
+                    speeds.record_progress(key, target, progress, float(second))
+        assert speeds.find("e0", 12.0).step == pytest.approx(0.6, rel=0.05)
+
+    # Guards against a usual speed of the fast targets, which report first.
+    def test_targets_are_not_slow_beside_the_first_known_ones(self) -> None:
+        speeds = TargetSpeeds()
+        for second in range(12):
+            for number in range(9):
+                name = f"e{number}"
+                speed, first = (1.6, 0) if number < 3 else (1.0, 6)
+                tokens = 1 + second * speed / REFERENCE_TARGET.step_seconds(RUNNING)
+                if second >= first:
+                    progress = GenerationProgress(PROMPT, int(tokens), RUNNING)
+                    speeds.record_progress(name, name, progress, float(second))
+            for number in range(3, 9):
+                assert speeds.find(f"e{number}", float(second)) == USUAL_SPEED
+
+    # Guards against two targets of which neither differs enough from their mean.
+    def test_one_of_two_targets_is_slow(self) -> None:
+        engines = Engines({"e0": 0.6, "e1": 1.0})
+        engines.run(12)
+        assert engines.measured.find("e0", engines.now).step == pytest.approx(0.6, 0.1)
+        assert engines.measured.find("e1", engines.now) == USUAL_SPEED
+
+    # Guards against short prompts, whose first token waits for the current step.
+    def test_short_prompts_are_no_measurement(self) -> None:
+        speeds = TargetSpeeds()
+        for second in range(12):
+            for target, seconds in (("e0", 0.06), ("e1", 0.03), ("e2", 0.03)):
+                key = f"{target}-{second}"
+                speeds.record_sent(key, target, 200, float(second))
+                progress = GenerationProgress(200, 1, RUNNING)
+                speeds.record_progress(key, target, progress, second + seconds)
+        assert speeds.find("e0", 12.0) == USUAL_SPEED
+
     # Guards against the use of a speed that was measured long ago.
     def test_a_speed_expires(self) -> None:
         engines = Engines({"e0": 0.6, "e1": 1.0, "e2": 1.6})
