Send fewer calls to slow plain targets

Cause: calls without tokens were placed by the number of running ones alone, so that a target of speed 0.6 got nearly as many as one of speed 1.6.

Change: the owner compares the mean durations of finished calls over 30 s. A target counts as slow if it differs by more than 4 standard errors and a factor of 1.35. Targets never count as fast, because a faulty one may answer every call with an error at once.

With equal targets, also if the work of calls varies, each call goes to the same target as before.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -257,7 +257,7 @@
         if release.outcome is ReservationOutcome.REJECTED:
             self._targets.record_refused(held.target, release.generation_id, now)
         else:
-            self._targets.record_ended(release.generation_id)
+            self._targets.record_ended(release.generation_id, release.outcome, now)
         request = held.request
         if release.outcome is ReservationOutcome.FINISHED:
             self._estimator.observe(
@@ -336,7 +336,8 @@
         for generation_id, held in tuple(self._held.items()):
             if held.last_contact_at < limit or held.instance in gone:
                 self._remove_reservation(generation_id)
-                self._targets.record_ended(generation_id)
+                outcome = ReservationOutcome.CANCELLED
+                self._targets.record_ended(generation_id, outcome, now)
         refusals: list[AddressedReply] = []
         for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -9,6 +9,7 @@
 from heathertack.policy import (
     USUAL_SPEED,
     AdmissionTuning,
+    CallDurations,
     GenerationProgress,
     LedgerEntry,
     PrefixIndex,
@@ -55,6 +56,7 @@
         self._rates = RequestRates()
         self._bounds = RejectionBounds(now)
         self._speeds = TargetSpeeds()
+        self._calls = CallDurations()
 
     @property
     def usable(self) -> frozenset[str]:
@@ -80,6 +82,7 @@
                 del self._slots[target]
                 del self._domains[target]
                 self._speeds.forget(target)
+                self._calls.forget(target)
 
     def set_versions(self, versions: Mapping[str, str | None]) -> None:
         """Set the software versions of all targets, ``None`` for unknown ones."""
@@ -126,10 +129,14 @@
             now,
         )
         ledger = self._ledgers.get(target)
-        if ledger is not None:
-            ahead = ledger.waiting_prompt_tokens
-            unread = 0 if request.is_running else self._unread(request, target) + ahead
-            self._speeds.record_sent(request.generation_id, target, unread, now)
+        if ledger is None:
+            return
+        if not ledger.capacity:
+            self._calls.record_sent(request.generation_id, target, now)
+            return
+        ahead = ledger.waiting_prompt_tokens
+        unread = 0 if request.is_running else self._unread(request, target) + ahead
+        self._speeds.record_sent(request.generation_id, target, unread, now)
 
     def record_progress(self, held: HeldReservation, tokens: int, now: float) -> None:
         """Record how many tokens of a request its target has generated."""
@@ -141,10 +148,14 @@
             progress = GenerationProgress(unread, tokens, ledger.count)
             self._speeds.record_progress(request.generation_id, target, progress, now)
 
-    def record_ended(self, generation_id: str) -> None:
+    def record_ended(
+        self, generation_id: str, outcome: ReservationOutcome, now: float
+    ) -> None:
         """Record that a request has ended and was not turned away."""
         self._bounds.record_ended(generation_id)
         self._speeds.record_ended(generation_id)
+        is_finished = outcome is ReservationOutcome.FINISHED
+        self._calls.record_ended(generation_id, now, is_finished=is_finished)
 
     def describe(self, target: str, now: float) -> str:
         """Return what a target is used for and its speeds, empty if it is unknown."""
@@ -161,6 +172,7 @@
         """Record that a target turned a request away, which has no reservation."""
         self._bounds.record_refused(target, generation_id, self._count(target), now)
         self._speeds.record_ended(generation_id)
+        self._calls.record_ended(generation_id, now, is_finished=False)
 
     def is_bounded(self, target: str) -> bool:
         """Return whether a target bounds the requests that it turns away."""
@@ -186,6 +198,9 @@
         """Return the speed of a target that its score uses."""
         if not self._tuning.compares_speeds:
             return USUAL_SPEED
+        ledger = self._ledgers.get(target)
+        if ledger is not None and not ledger.capacity:
+            return self._calls.find(target, now)
         return self._speeds.find(target, now)
 
     def _unread(self, request: ReservationRequest, target: str) -> int:
@@ -336,6 +351,9 @@
         speed = self._find_speed(target, now)
         if load is None or speed == USUAL_SPEED:
             return load
+        if not self._ledgers[target].capacity:
+            own = 1 / self._slots[target]
+            return (load + own) / speed.step - own
         prompt = 0 if request.is_running else self._unread(request, target)
         running = self._ledgers[target].count
         cost = speed.find_cost(prompt, candidate.remaining, running)
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -1,5 +1,6 @@
 """Estimators and policies for admission decisions."""
 
+from heathertack.policy._call_durations import CallDurations
 from heathertack.policy._crash_attribution import (
     CrashCause,
     LostRun,
@@ -38,6 +39,7 @@
     "REFERENCE_TARGET",
     "USUAL_SPEED",
     "AdmissionTuning",
+    "CallDurations",
     "CrashCause",
     "ExecutionRecord",
     "FairQueue",
