--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -34,6 +34,7 @@
     RateUser,
     ReservedQuantile,
     TargetLossCounter,
+    TargetSpeed,
 )
 
 _LOSSES_TO_QUARANTINE = 2
@@ -112,6 +113,10 @@
         """Targets that accept new requests."""
         return tuple(sorted(self._targets.usable))
 
+    def list_speeds(self, now: float) -> Mapping[str, TargetSpeed]:
+        """Return the speeds of the targets that differ from the others."""
+        return self._targets.list_speeds(now)
+
     def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
         """Set the targets that accept new requests, with their capacities."""
         self._targets.set_capacities(capacities)
@@ -229,7 +234,7 @@
             return generation_id in self._queue
         if generated_tokens:
             self._targets.end_transfer(generation_id)
-            self._targets.record_accepted(generation_id)
+            self._targets.record_progress(held, generated_tokens, now)
         self._charge(held, generated_tokens)
         self._store_reservation(
             held.request,
@@ -252,7 +257,7 @@
         if release.outcome is ReservationOutcome.REJECTED:
             self._targets.record_refused(held.target, release.generation_id, now)
         else:
-            self._targets.record_ended(release.generation_id)
+            self._targets.record_ended(release.generation_id, release.outcome, now)
         request = held.request
         if release.outcome is ReservationOutcome.FINISHED:
             self._estimator.observe(
@@ -267,15 +272,12 @@
         is_bounded = self._targets.is_bounded(held.target)
         if is_bounded and release.outcome is ReservationOutcome.REJECTED:
             return  # its places are known better than by the outcome alone
-        if release.outcome in _AVOIDANCE_SECONDS_BY_OUTCOME:
-            duration = _AVOIDANCE_SECONDS_BY_OUTCOME[release.outcome]
-            self._targets.avoid(held.target, now + duration)
+        self._targets.avoid_after(release.outcome, held.target, now)
 
     def record_target_loss(self, loss: ReservationBlame, now: float) -> None:
         """Record that a target failed while it ran a request."""
         self._losses.record_loss(loss.fingerprint, now)
-        duration = _AVOIDANCE_SECONDS_BY_OUTCOME[ReservationOutcome.TARGET_LOST]
-        self._targets.avoid(loss.target, now + duration)
+        self._targets.avoid_after(ReservationOutcome.TARGET_LOST, loss.target, now)
 
     def record_load(self, target: str, load: EngineLoad, now: float) -> None:
         """Apply a load report of a target."""
@@ -334,7 +336,8 @@
         for generation_id, held in tuple(self._held.items()):
             if held.last_contact_at < limit or held.instance in gone:
                 self._remove_reservation(generation_id)
-                self._targets.record_ended(generation_id)
+                outcome = ReservationOutcome.CANCELLED
+                self._targets.record_ended(generation_id, outcome, now)
         refusals: list[AddressedReply] = []
         for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
@@ -472,7 +475,7 @@
         user = self._rate_user(waiting.instance)
         paused = self._pauses.find(waiting.instance, now)
         for target in self._targets.order_candidates(request, user, now, paused):
-            score = self._targets.score(request, target, candidate)
+            score = self._targets.score(request, target, candidate, now)
             if score is None:
                 continue
             if best is None or (score, target) < best:
@@ -550,13 +553,13 @@
         try:
             for key, _ in entries:
                 ledger.release(_backup_key(key))
-            if self._targets.score(request, target, candidate) is None:
+            if not self._targets.fits(request, target, candidate):
                 return ()
             # Reserves the smallest ones again for as long as the request fits.
             while dropped > 1:
                 key, entry = entries[dropped - 1]
                 ledger.reserve_backup(_backup_key(key), entry)
-                if self._targets.score(request, target, candidate) is None:
+                if not self._targets.fits(request, target, candidate):
                     break
                 dropped -= 1
             return tuple(key for key, _ in entries[:dropped])
@@ -626,8 +629,7 @@
         self, waiting: WaitingRequest, target: str, now: float
     ) -> AddressedReply:
         request = waiting.request
-        ledger = self._targets.find_ledger(target)
-        ledger_state = ledger.describe() if ledger is not None else ""
+        ledger_state = self._targets.describe(target, now)
         backup = self._choose_backup_target(waiting, target, now)
         if request.is_running:
             endpoints = (*request.excluded, target)
@@ -706,15 +708,6 @@
             self._queue.charge(held.request.account, held.request.share, tokens)
 
 
-#: Time for which a target is avoided after a failure, by outcome.
-_AVOIDANCE_SECONDS_BY_OUTCOME = {
-    ReservationOutcome.ANSWER_LOST: 0.3,
-    ReservationOutcome.TARGET_LOST: 5.0,
-    ReservationOutcome.UNREACHABLE: 2.0,
-    ReservationOutcome.REJECTED: 1.0,
-}
-
-
 def _grant(
     request: ReservationRequest, target: str, reason: str, backup: str = ""
 ) -> ReservationGrant:
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Iterable, Mapping
 
-from heathertack.controllers._admission_types import TargetCapacity
-from heathertack.messages import ReservationRequest
+from heathertack.controllers._admission_types import HeldReservation, TargetCapacity
+from heathertack.messages import ReservationOutcome, ReservationRequest
 from heathertack.policy import (
+    USUAL_SPEED,
     AdmissionTuning,
+    CallDurations,
+    GenerationProgress,
     LedgerEntry,
     PrefixIndex,
     RateUser,
@@ -15,8 +18,18 @@
     RejectionUser,
     RequestRates,
     TargetLedger,
+    TargetSpeed,
+    TargetSpeeds,
 )
 
+#: Time for which a target is avoided after a failure, by outcome.
+_AVOIDANCE_SECONDS_BY_OUTCOME = {
+    ReservationOutcome.ANSWER_LOST: 0.3,
+    ReservationOutcome.TARGET_LOST: 5.0,
+    ReservationOutcome.UNREACHABLE: 2.0,
+    ReservationOutcome.REJECTED: 1.0,
+}
+
 
 class TargetGroup:
     """Ledgers, slots and links of the targets of one group.
@@ -42,6 +55,8 @@
         self._transfers: dict[str, frozenset[str]] = {}
         self._rates = RequestRates()
         self._bounds = RejectionBounds(now)
+        self._speeds = TargetSpeeds()
+        self._calls = CallDurations()
 
     @property
     def usable(self) -> frozenset[str]:
@@ -66,6 +81,8 @@
                 del self._prefixes[target]
                 del self._slots[target]
                 del self._domains[target]
+                self._speeds.forget(target)
+                self._calls.forget(target)
 
     def set_versions(self, versions: Mapping[str, str | None]) -> None:
         """Set the software versions of all targets, ``None`` for unknown ones."""
@@ -111,18 +128,51 @@
             self._count(target),
             now,
         )
+        ledger = self._ledgers.get(target)
+        if ledger is None:
+            return
+        if not ledger.capacity:
+            self._calls.record_sent(request.generation_id, target, now)
+            return
+        ahead = ledger.waiting_prompt_tokens
+        unread = 0 if request.is_running else self._unread(request, target) + ahead
+        self._speeds.record_sent(request.generation_id, target, unread, now)
+
+    def record_progress(self, held: HeldReservation, tokens: int, now: float) -> None:
+        """Record how many tokens of a request its target has generated."""
+        request, target = held.request, held.target
+        self._bounds.record_accepted(request.generation_id)
+        ledger = self._ledgers.get(target)
+        if ledger is not None and ledger.capacity:
+            unread = 0 if request.is_running else self._unread(request, target)
+            progress = GenerationProgress(unread, tokens, ledger.count)
+            self._speeds.record_progress(request.generation_id, target, progress, now)
 
-    def record_accepted(self, generation_id: str) -> None:
-        """Record that a target has accepted a request."""
-        self._bounds.record_accepted(generation_id)
-
-    def record_ended(self, generation_id: str) -> None:
+    def record_ended(
+        self, generation_id: str, outcome: ReservationOutcome, now: float
+    ) -> None:
         """Record that a request has ended and was not turned away."""
         self._bounds.record_ended(generation_id)
+        self._speeds.record_ended(generation_id)
+        is_finished = outcome is ReservationOutcome.FINISHED
+        self._calls.record_ended(generation_id, now, is_finished=is_finished)
+
+    def describe(self, target: str, now: float) -> str:
+        """Return what a target is used for and its speeds, empty if it is unknown."""
+        ledger = self._ledgers.get(target)
+        if ledger is None:
+            return ""
+        speed = self._find_speed(target, now)
+        if speed == USUAL_SPEED:
+            return ledger.describe()
+        speeds = f"speed {speed.prompt:.2f} reading, {speed.step:.2f} in steps"
+        return f"{ledger.describe()}, {speeds}"
 
     def record_refused(self, target: str, generation_id: str, now: float) -> None:
         """Record that a target turned a request away, which has no reservation."""
         self._bounds.record_refused(target, generation_id, self._count(target), now)
+        self._speeds.record_ended(generation_id)
+        self._calls.record_ended(generation_id, now, is_finished=False)
 
     def is_bounded(self, target: str) -> bool:
         """Return whether a target bounds the requests that it turns away."""
@@ -139,6 +189,25 @@
             )
         )
 
+    def list_speeds(self, now: float) -> Mapping[str, TargetSpeed]:
+        """Return the speeds of the targets that differ from the others."""
+        speeds = {target: self._find_speed(target, now) for target in self._usable}
+        return {t: speed for t, speed in speeds.items() if speed != USUAL_SPEED}
+
+    def _find_speed(self, target: str, now: float) -> TargetSpeed:
+        """Return the speed of a target that its score uses."""
+        if not self._tuning.compares_speeds:
+            return USUAL_SPEED
+        ledger = self._ledgers.get(target)
+        if ledger is not None and not ledger.capacity:
+            return self._calls.find(target, now)
+        return self._speeds.find(target, now)
+
+    def _unread(self, request: ReservationRequest, target: str) -> int:
+        """Return the prompt tokens of a request that a target has to read."""
+        saved = self._prefixes[target].saved_tokens(request.prefix)
+        return max(request.prompt_tokens - saved, 0)
+
     def _allows(self, target: str, user: RateUser, now: float) -> bool:
         """Return whether the limits of a target allow one more request."""
         if not self._rates.accepts(target, user, now):
@@ -185,6 +254,11 @@
         """Prefer other targets until a point in time."""
         self._avoid_until[target] = until
 
+    def avoid_after(self, outcome: ReservationOutcome, target: str, now: float) -> None:
+        """Prefer other targets for a while after a request that a target failed."""
+        if outcome in _AVOIDANCE_SECONDS_BY_OUTCOME:
+            self.avoid(target, now + _AVOIDANCE_SECONDS_BY_OUTCOME[outcome])
+
     def begin_transfer(self, generation_id: str, endpoints: Iterable[str]) -> None:
         """Mark the links of both endpoints as busy with a KV cache transfer."""
         self._transfers[generation_id] = frozenset(endpoints)
@@ -229,7 +303,8 @@
     ) -> list[str]:
         """Order targets by cache use, less the prefill that a cached prefix saves.
 
-        For a run that moves, those in the failure domain of its target come first.
+        Cache use counts for more on slow targets. For a run that moves, those in the
+        failure domain of its target come first.
         """
         weight = self._tuning.prefix_weight
 
@@ -240,16 +315,30 @@
             saved = self._prefixes[target].saved_tokens(request.prefix)
             ledger = self._ledgers[target]
             run_penalty = self._tuning.run_weight * ledger.count * ledger.capacity
-            return (is_far, ledger.cached - weight * saved + run_penalty, target)
+            load = ledger.cached - weight * saved + run_penalty
+            speed = self._find_speed(target, now)
+            if speed != USUAL_SPEED:
+                cost = speed.find_cost(
+                    request.prompt_tokens, request.max_tokens, ledger.count
+                )
+                # An empty target is used for the request at least.
+                own = request.prompt_tokens
+                load = _scale(load + own, cost) - own
+            return (is_far, load, target)
 
         return sorted(self.list_candidates(request, user, now, paused), key=rank)
 
     def score(
-        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+        self,
+        request: ReservationRequest,
+        target: str,
+        candidate: LedgerEntry,
+        now: float,
     ) -> float | None:
         """Return the score of a target with a request added, ``None`` if it is full.
 
-        The score is the projected load; lower is better.
+        The score is the projected load; lower is better. On a target of another speed
+        than usual it is weighted by the cost of the request there.
 
         Parameters
         ----------
@@ -259,7 +348,31 @@
             Name of a known target.
         candidate : LedgerEntry
             Predicted cache use of the request.
+        now : float
+            Monotonic clock, seconds.
         """
+        load = self._project_load(request, target, candidate)
+        speed = self._find_speed(target, now)
+        if load is None or speed == USUAL_SPEED:
+            return load
+        if not self._ledgers[target].capacity:
+            own = 1 / self._slots[target]
+            return (load + own) / speed.step - own
+        prompt = 0 if request.is_running else self._unread(request, target)
+        running = self._ledgers[target].count
+        cost = speed.find_cost(prompt, candidate.remaining, running)
+        return _scale(load, cost)
+
+    def fits(
+        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+    ) -> bool:
+        """Return whether a target has room for a request."""
+        return self._project_load(request, target, candidate) is not None
+
+    def _project_load(
+        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+    ) -> float | None:
+        """Return the load of a target with a request added, ``None`` if it is full."""
         tuning = self._tuning
         ledger = self._ledgers[target]
         if not self.has_slot(request, target):
@@ -361,5 +474,13 @@
         return any(endpoints & used for used in self._transfers.values())
 
 
+def _scale(load: float, cost: float) -> float:
+    """Return a load weighted by the cost of a request.
+
+    A cached prefix that saves more than the rest of the load gives a negative one.
+    """
+    return load * cost if load > 0 else load / cost
+
+
 def _find_rejection_user(user: RateUser) -> RejectionUser:
     return RejectionUser("" if user.is_owner else user.name)
