Bound the memory and descriptors that a process holds for others

Cause: limits hold for single requests only. Bodies, heads, unread answers, relayed bytes and socket buffers of a crowd together exceeded the memory of a machine, and connections its descriptors; libzmq accepts connections without a limit.

Change: one budget for the process (heathertackd/_caller_memory.py) counts each connection of callers, operators, directory, readiness, metrics and relay, with the cost of objects. Above a limit the largest and oldest connection is closed whose request is not whole or whose answer is not read; whole requests are kept. Socket buffers have a fixed size, listeners accept 16 connections in a step. Connections from other instances have a limit of their own, enforced on the accepted descriptors.

--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -51,6 +51,15 @@
     max_connections: NotRequired[Integer]
     #: Maximum number of concurrently open generations.
     max_streams: NotRequired[Integer]
+    #: Maximum memory that all connections of callers, operators and other instances
+    #: hold together, bytes; without it there is no limit.
+    max_held_bytes: NotRequired[Integer]
+    #: Maximum number of descriptors of these connections; without it there is no limit.
+    max_held_descriptors: NotRequired[Integer]
+    #: Maximum number of connections from other instances; without it there is no limit.
+    max_peer_connections: NotRequired[Integer]
+    #: Size of each of the two buffers of a socket, bytes; by default the kernel's.
+    socket_buffer_bytes: NotRequired[Integer]
     #: Maximum time that one write to a caller may block, seconds.
     caller_write_timeout: NotRequired[Seconds]
     #: Maximum time that a caller may take to send its request, seconds.
@@ -135,6 +144,16 @@
     max_connections: int = 4096
     #: Maximum number of concurrently open generations.
     max_streams: int = 2048
+    #: Maximum memory that all connections of callers, operators and other instances
+    #: hold together, bytes; ``None`` for no limit.
+    max_held_bytes: int | None = None
+    #: Maximum number of descriptors of these connections; ``None`` for no limit.
+    max_held_descriptors: int | None = None
+    #: Maximum number of connections from other instances; ``None`` for no limit.
+    max_peer_connections: int | None = None
+    #: Size of each of the two buffers of a socket, bytes; ``None`` for that of the
+    #: kernel.
+    socket_buffer_bytes: int | None = None
     #: Maximum time that one write to a caller may block, seconds.
     caller_write_timeout: float = 30.0
     #: Maximum time that a caller may take to send its request, seconds.
--- a/packages/heathertack/src/heathertack/settings/_parse.py
+++ b/packages/heathertack/src/heathertack/settings/_parse.py
@@ -7,13 +7,20 @@
 from returns.result import Failure, Result, Success
 
 from heathertack.schema import SchemaError, convert_document, parse_document
-from heathertack.settings._model import Address, Settings
+from heathertack.settings._model import Address, Settings, resolve_limits
 
 #: Error for an invalid settings file.
 SettingsError = SchemaError
 
 _MAX_PORT = 65535
 _Z85_KEY_LENGTH = 40
+#: A body is counted twice, as the request that is sent on may be buffered, and leaves a
+#: quarter of the memory to others: with this factor the largest body is served.
+MIN_HELD_BODIES = 4
+#: Smaller limits leave no room for operators, other instances and a few callers.
+MIN_HELD_DESCRIPTORS = 16
+MIN_PEER_CONNECTIONS = 16
+MIN_SOCKET_BUFFER_BYTES = 4096
 
 
 def parse_settings(file: str, text: str) -> Result[Settings, SettingsError]:
@@ -62,6 +69,11 @@
             return Failure(
                 SettingsError(file, "$.peer.relay_port", str(relay_port), expected)
             )
+    for name, minimum in _minimum_limits(settings).items():
+        value = settings.get("limits", {}).get(name)
+        if isinstance(value, int) and value < minimum:
+            path, expected = f"$.limits.{name}", f"at least {minimum}"
+            return Failure(SettingsError(file, path, str(value), expected))
     for path, key in keys:
         if len(key) != _Z85_KEY_LENGTH:
             found = f"{len(key)} characters"
@@ -80,6 +92,16 @@
     return Success(settings)
 
 
+def _minimum_limits(settings: Settings) -> dict[str, int]:
+    """Return the smallest values of the limits on what a process holds."""
+    return {
+        "max_held_bytes": MIN_HELD_BODIES * resolve_limits(settings).max_body_bytes,
+        "max_held_descriptors": MIN_HELD_DESCRIPTORS,
+        "max_peer_connections": MIN_PEER_CONNECTIONS,
+        "socket_buffer_bytes": MIN_SOCKET_BUFFER_BYTES,
+    }
+
+
 def _check_address(file: str, path: str, address: Address) -> SettingsError | None:
     try:
         ip_address(address["host"])
--- a/packages/heathertack/src/heathertack/settings/tests/test_settings.py
+++ b/packages/heathertack/src/heathertack/settings/tests/test_settings.py
@@ -47,6 +47,30 @@
         "$.peer.relay_port",
         "not the port of another listener",
     ),
+    (
+        "less memory than the largest body takes",
+        {"limits": {"max_body_bytes": 1000, "max_held_bytes": 3999}},
+        "$.limits.max_held_bytes",
+        "at least 4000",
+    ),
+    (
+        "few descriptors",
+        {"limits": {"max_held_descriptors": 15}},
+        "$.limits.max_held_descriptors",
+        "at least 16",
+    ),
+    (
+        "few peers",
+        {"limits": {"max_peer_connections": 15}},
+        "$.limits.max_peer_connections",
+        "at least 16",
+    ),
+    (
+        "small buffers",
+        {"limits": {"socket_buffer_bytes": 0}},
+        "$.limits.socket_buffer_bytes",
+        "at least 4096",
+    ),
     ("short key", {"secret_key": "x"}, "$.secret_key", "40 Z85 characters"),
     ("self as peer", {"peers": [peer("entry-1")]}, "$.peers", "each instance once"),
 ]
--- a/packages/heathertackd/src/heathertackd/__init__.py
+++ b/packages/heathertackd/src/heathertackd/__init__.py
@@ -1,6 +1,10 @@
 """The heathertack daemon."""
 
-from heathertackd._bounded_server import BoundedServer, has_waiting_connections
+from heathertackd._bounded_server import (
+    BoundedServer,
+    has_waiting_connections,
+    listen,
+)
 from heathertackd._caller_limits import choose_connection_bounds
 from heathertackd._clock import monotonic
 from heathertackd._connection_guard import (
@@ -60,6 +64,7 @@
     "configure_logs",
     "has_open_requests",
     "has_waiting_connections",
+    "listen",
     "monotonic",
     "read_limited",
 ]
--- a/packages/heathertackd/src/heathertackd/_bounded_server.py
+++ b/packages/heathertackd/src/heathertackd/_bounded_server.py
@@ -5,19 +5,59 @@
 import asyncio
 import fcntl
 import select
+import socket
 import sys
 import termios
-from typing import Any
+from collections import deque
+from typing import Any, Final
 
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from heathertackd import _clock
+from heathertackd._caller_memory import CallerMemory
+from heathertackd._sockets import limit_buffers
 
 #: Maximum size of a head, or of chunk headers and trailers beyond the size of their
 #: payload, bytes. Limits on the header that a bundle sets are smaller.
 _MAX_OVERHEAD_BYTES = 256 * 1024
 #: Size of the result of a query of a socket's buffers.
 _INT_BYTES = 4
+#: Number of callers that may wait to be accepted: must hold a burst of callers that
+#: connect at the same moment.
+BACKLOG: Final = 1024
+#: Number of connections that are accepted in one step of the event loop.
+ACCEPT_COUNT: Final = 16
+#: Query of the bytes that have arrived and were not read.
+_UNREAD = termios.FIONREAD
+#: Size of the pieces in which a counted connection is read, bytes. The parser keeps the
+#: rest of a piece when it stops to read.
+_READ_BYTES = 32 * 1024
+#: Size of a body's buffer, bytes; the HTTP library stops to read a connection at twice
+#: this size.
+_BODY_BUFFER_BYTES = 64 * 1024
+#: Memory of an open connection with its parser, task and transport, bytes: 300 idle
+#: ones took 4.5 KB each.
+_CONNECTION_BYTES = 8 * 1024
+#: Memory of one header field besides its text, bytes: the parser makes a tuple, two
+#: bytes objects, two strings and their places in a list and a dictionary.
+_FIELD_BYTES = 400
+#: Size of the shortest header field: a name, a colon and a line end.
+_MIN_FIELD_BYTES = 3
+#: Copies of a head: the text itself, and the decoded fields.
+_HEAD_COPIES = 3
+#: Memory of a piece of a body besides its bytes: a bytes object and its place.
+_PIECE_OBJECT_BYTES = 48
+#: Memory of the end of a chunk that the HTTP library remembers: a number and its place.
+_CHUNK_END_BYTES = 40
+#: A body is held by its request, and by the connection to a target that reads slowly.
+_BODY_COPIES = 2
+#: An answer that is being sent is held by its request and by the transport.
+_ANSWER_COPIES = 2
+
+
+class ConnectionDroppedError(Exception):
+    """The connection of a request was closed before its answer."""
 
 
 class BoundedRequestHandler(web.RequestHandler):
@@ -27,8 +67,26 @@
     chunk extensions, which it reads without end.
     """
 
-    def __init__(self, manager: web.Server, **options: Any) -> None:
+    def __init__(
+        self, manager: web.Server, memory: CallerMemory | None = None, **options: Any
+    ) -> None:
+        if memory is not None and memory.buffer_bytes is not None:
+            options.setdefault("read_bufsize", _BODY_BUFFER_BYTES)
         super().__init__(manager, **options)
+        self._memory = memory
+        #: Bodies of the requests that were parsed and not answered, in order.
+        self._payloads: deque[Any] = deque()
+        #: Memory of the heads of these requests, bytes.
+        self._head_bytes: deque[int] = deque()
+        #: Body of an answered request that is still being received.
+        self._surplus_payload: Any = EMPTY_PAYLOAD
+        #: Memory of the head that is being read, bytes.
+        self._open_head_bytes = 0
+        #: Memory that the handler of the request holds.
+        self._request_bytes = 0
+        self._answer_bytes = 0
+        #: Bytes in the buffers of the socket when they were last looked at.
+        self._queued_bytes = 0
         self._received_bytes = 0
         self._seen_requests = 0
         self._body: Any = None
@@ -87,12 +145,106 @@
             return False
         return not _has_unread_bytes(self.transport)
 
+    @property
+    def may_be_closed(self) -> bool:
+        """Whether its request is not whole, or its answer is not being read."""
+        if not self.is_answering or self.is_sending_rest or self.writing_paused:
+            return True
+        return any(not payload.is_eof() for payload in self._payloads)
+
+    @property
+    def _body_bytes(self) -> int:
+        """Memory of bodies: handlers keep what they take until the answer."""
+        taken = sum(int(payload.total_bytes) for payload in self._payloads)
+        objects = sum(_measure_objects(payload) for payload in self._payloads)
+        unread = _measure_unread(self._surplus_payload)
+        return _BODY_COPIES * taken + objects + unread
+
+    def drop(self) -> None:
+        """Close the connection without an answer, and give up what it holds."""
+        transport = self.transport
+        self._payloads.clear()
+        self._head_bytes.clear()
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def hold(self, size: int) -> None:
+        """Count memory that a handler takes, until its answer is sent.
+
+        Parameters
+        ----------
+        size : int
+            Additional bytes.
+
+        Raises
+        ------
+        ConnectionDroppedError
+            If the connection was closed, also for want of memory.
+        """
+        self._request_bytes += size
+        if not self._count():
+            raise ConnectionDroppedError("the connection of the caller was closed")
+
+    def _count(self) -> bool:
+        """Count what the connection holds, and return whether it may go on."""
+        memory = self._memory
+        if memory is None:
+            return True
+        transport = self.transport
+        if transport is None:
+            return False
+        unsent = transport.get_write_buffer_size()
+        held = _CONNECTION_BYTES + self._open_head_bytes + sum(self._head_bytes)
+        held += self._body_bytes
+        held += self._request_bytes + max(self._answer_bytes, unsent)
+        buffer_bytes = memory.buffer_bytes or 0
+        kept_bytes = self._queued_bytes
+        if self._reading_paused or self._buffer_paused:
+            kept_bytes = max(kept_bytes, buffer_bytes + _READ_BYTES)
+        if self.writing_paused:
+            # The target's side of a stream stops, too, with its buffers full.
+            kept_bytes += 2 * buffer_bytes + 2 * _BODY_BUFFER_BYTES
+        return memory.update(self, held + kept_bytes)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count a new connection."""
+        super().connection_made(transport)
+        if self._memory is None:
+            return
+        if self._memory.buffer_bytes is not None:
+            # The transport has no parameter for the size of its reads.
+            vars(transport)["max_size"] = _READ_BYTES
+        self._memory.open(self)
+        self._count()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give back what the connection held."""
+        super().connection_lost(exc)
+        self._payloads.clear()
+        self._head_bytes.clear()
+        if self._memory is not None:
+            self._memory.close(self)
+
+    def pause_writing(self) -> None:
+        """Count the buffers of a caller that reads slowly."""
+        super().pause_writing()
+        self._count()
+
+    def resume_writing(self) -> None:
+        """Count the buffers of a caller that reads again."""
+        super().resume_writing()
+        self._count()
+
     def observe(self, now: float) -> None:
         """Note whether the caller has taken more of its answer since the last call."""
         untaken = _count_untaken_bytes(self.transport) if self.is_sending_rest else 0
         if untaken and untaken < self._untaken_bytes:
             self._answered_at = now
         self._untaken_bytes = untaken
+        if self._memory is not None:
+            self._queued_bytes = _count_queued_bytes(self.transport)
+            self._count()
 
     def end(self) -> None:
         """Close the connection for good, without the rest of an answer.
@@ -111,27 +263,130 @@
         self, request: web.BaseRequest, resp: Any, start_time: float | None
     ) -> tuple[Any, bool]:
         """Send the answer to a request."""
+        body = getattr(resp, "body", None)
+        if isinstance(body, bytes | bytearray):
+            self._answer_bytes = _ANSWER_COPIES * len(body)
+            self._count()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
             self._answered_at = _clock.monotonic()
+            self._forget_request()
+
+    def _forget_request(self) -> None:
+        """Give back what an answered request held."""
+        self._answer_bytes = self._request_bytes = 0
+        if self._payloads:
+            self._surplus_payload = self._payloads.popleft()
+            self._head_bytes.popleft()
+        if self._memory is not None:
+            self._memory.restart(self)
+        self._count()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and abort the connection if they exceed the limit."""
         self._received_bytes += len(data)
-        is_body = self._body is not None and not self._body.is_eof()
+        body = self._body
+        is_body = body is not None and not body.is_eof()
+        taken = -body.total_bytes if is_body else 0
         super().data_received(data)
-        if self._request_count != self._seen_requests:
+        taken += body.total_bytes if is_body else 0
+        new_count = self._request_count - self._seen_requests
+        if new_count:
+            for message, added in list(self._messages)[-new_count:]:
+                self._head_bytes.append(_measure_head(message))
+                self._payloads.append(added)
+                taken += added.total_bytes
             self._seen_requests = self._request_count
             self._received_bytes = 0
             self._body = self._messages[-1][1] if self._messages else None
             self._is_reading_head = False
         elif data and not is_body:
             self._is_reading_head = True
+        if data:
+            self._count_open_head(data, taken, is_new=bool(new_count) or is_body)
         payload_bytes = self._body.total_bytes if self._body is not None else 0
         overhead = self._received_bytes - 2 * payload_bytes
         if overhead > _MAX_OVERHEAD_BYTES and self.transport is not None:
             self.transport.abort()
+        self._count()
+
+    def _count_open_head(self, data: bytes, taken: int, *, is_new: bool) -> None:
+        """Count a head that may have begun with the last bytes of a piece.
+
+        Where a request ended in the piece, it is not known how many of its bytes belong
+        to the next one: all that are no payload are counted.
+        """
+        if is_new:
+            self._open_head_bytes = 0
+        if self._body is not None and not self._body.is_eof():
+            return
+        size = len(data) - taken
+        fields = min(data.count(b"\n"), size // _MIN_FIELD_BYTES)
+        self._open_head_bytes += _HEAD_COPIES * size + _FIELD_BYTES * fields
+
+
+def hold(request: web.BaseRequest, size: int) -> None:
+    """Count memory that the handler of a request takes, until its answer is sent.
+
+    Parameters
+    ----------
+    request : web.BaseRequest
+        Request on a connection of any kind; only bounded ones are counted.
+    size : int
+        Additional bytes.
+
+    Raises
+    ------
+    ConnectionDroppedError
+        If the connection was closed, also for want of memory.
+    """
+    connection = request.protocol
+    if isinstance(connection, BoundedRequestHandler):
+        connection.hold(size)
+
+
+def _measure_head(message: Any) -> int:
+    """Return the memory of a parsed head, or of the error of one, bytes."""
+    fields = getattr(message, "raw_headers", ())
+    text = sum(len(name) + len(value) for name, value in fields)
+    path = len(getattr(message, "path", ""))
+    return _HEAD_COPIES * (text + path) + _FIELD_BYTES * len(fields)
+
+
+def _measure_objects(payload: Any) -> int:
+    """Return the memory of the objects for the part of a body that is not taken, bytes.
+
+    The HTTP library keeps each piece as it was received, and the end of each chunk; it
+    has no interface that tells how many.
+    """
+    if payload is EMPTY_PAYLOAD:
+        return 0
+    ends_bytes = _CHUNK_END_BYTES * len(payload._http_chunk_splits or ())
+    return ends_bytes + _PIECE_OBJECT_BYTES * len(payload._buffer)
+
+
+def _measure_unread(payload: Any) -> int:
+    """Return the memory of the part of a body that is not taken, bytes."""
+    if payload is EMPTY_PAYLOAD:
+        return 0
+    return int(payload._size) + _measure_objects(payload)
+
+
+def _count_queued_bytes(transport: asyncio.Transport | None) -> int:
+    """Return how many bytes the buffers of a socket hold."""
+    if transport is None or transport.is_closing():
+        return 0
+    opened = transport.get_extra_info("socket")
+    return sum(_query(opened, request) for request in (termios.TIOCOUTQ, _UNREAD))
+
+
+def _query(opened: Any, request: int) -> int:
+    try:
+        result = fcntl.ioctl(opened, request, bytes(_INT_BYTES))
+    except OSError:
+        return 0
+    return int.from_bytes(result, sys.byteorder)
 
 
 def _has_unread_bytes(transport: asyncio.Transport | None) -> bool:
@@ -148,11 +403,7 @@
     in_process = transport.get_write_buffer_size()
     # The kernel lets a process write only once a third of its buffer is free.
     opened = transport.get_extra_info("socket")
-    try:
-        queued = fcntl.ioctl(opened, termios.TIOCOUTQ, bytes(_INT_BYTES))
-    except OSError:
-        return in_process
-    return in_process + int.from_bytes(queued, sys.byteorder)
+    return in_process + _query(opened, termios.TIOCOUTQ)
 
 
 def has_waiting_connections(listener: asyncio.Server) -> bool:
@@ -166,8 +417,60 @@
     return bool(poll.poll(0))
 
 
+async def listen(
+    server: web.Server, host: str, port: int, memory: CallerMemory
+) -> asyncio.Server:
+    """Listen for connections, which are accepted a few at a time.
+
+    The event loop accepts as many connections in one step as may wait for it, before
+    any of them is counted.
+
+    Raises
+    ------
+    OSError
+        If the address can't be used.
+    """
+    loop = asyncio.get_running_loop()
+    if memory.buffer_bytes is None:
+        return await loop.create_server(server, host, port, backlog=BACKLOG)
+    listening = open_listening_socket(host, port, memory.buffer_bytes, BACKLOG)
+    opened = await loop.create_server(server, sock=listening, backlog=ACCEPT_COUNT)
+    listening.listen(BACKLOG)
+    return opened
+
+
+def open_listening_socket(
+    host: str, port: int, buffer_bytes: int, backlog: int
+) -> socket.socket:
+    """Return a listening socket whose connections have limited buffers.
+
+    Raises
+    ------
+    OSError
+        If the address can't be used.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening = socket.create_server((host, port), family=family, backlog=backlog)
+    limit_buffers(listening, buffer_bytes)
+    return listening
+
+
 class BoundedServer(web.Server):
-    """Serves callers on connections with a limit on the overhead of requests."""
+    """Serves callers on connections with a limit on the overhead of requests.
+
+    Parameters
+    ----------
+    handler : callable
+        Handles the requests.
+    memory : CallerMemory or None
+        Counts what the connections hold.
+    """
+
+    def __init__(
+        self, handler: Any, *, memory: CallerMemory | None = None, **options: Any
+    ) -> None:
+        super().__init__(handler, **options)
+        self._memory = memory
 
     @property
     def connections(self) -> list[Any]:
@@ -176,16 +479,33 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return BoundedRequestHandler(self, loop=self._loop, **self._kwargs)
+        return BoundedRequestHandler(
+            self, self._memory, loop=self._loop, **self._kwargs
+        )
 
 
 class BoundedAppRunner(web.AppRunner):
-    """Runs an application on a bounded server."""
+    """Runs an application on a bounded server.
+
+    Parameters
+    ----------
+    app : web.Application
+        The application.
+    memory : CallerMemory or None
+        Counts what the connections hold.
+    """
+
+    def __init__(
+        self, app: web.Application, memory: CallerMemory | None = None, **options: Any
+    ) -> None:
+        super().__init__(app, **options)
+        self._memory = memory
 
     async def _make_server(self) -> web.Server:
         server = await super()._make_server()
         return BoundedServer(
             server.request_handler,
+            memory=self._memory,
             request_factory=server.request_factory,
             handler_cancellation=server.handler_cancellation,
             loop=server._loop,
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -134,9 +134,10 @@
     UnreachableServices,
 )
 from heathertack.policy import ADMISSION_TUNING, AdmissionTuning, CrashCause
-from heathertack.settings import Settings
+from heathertack.settings import Settings, resolve_limits
 from heathertack.state import COMMAND_CODEC
 from heathertackd import _clock
+from heathertackd._caller_memory import CallerMemory
 from heathertackd._command_queue import CommandQueue
 from heathertackd._control_client import ControlClient
 from heathertackd._control_log_runner import ControlLogRunner
@@ -226,6 +227,9 @@
         self.board = board
         self.logger = logger
         self.metrics = Metrics()
+        self.caller_memory = CallerMemory(
+            resolve_limits(settings), self.metrics, logger
+        )
         self.failures = FailureLog(logger, self.metrics)
         self._steps = StepGuard(self.failures)
         self.address_ttl = settings.get("address_ttl", _DEFAULT_ADDRESS_TTL_SECONDS)
@@ -265,6 +269,7 @@
             self._find_relay_address,
             self.metrics,
             logger,
+            buffer_bytes=self.caller_memory.buffer_bytes,
         )
         self.control = ControlClient(self.send, self._find_leader, logger)
         self._commands = CommandQueue(self.control, logger)
@@ -320,6 +325,7 @@
             ),
             BackgroundWork("ticks", self._run_ticks, FailurePolicy.LEAVE),
             BackgroundWork("target_links", self.connections.run_probes),
+            BackgroundWork("peer_connections", self.network.limit_connections),
         )
 
     async def stop(self) -> None:
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -123,6 +123,22 @@
             ("task",),
             registry=self._registry,
         )
+        self.held_bytes = Gauge(
+            "heathertack_held_bytes",
+            "Memory held for callers, operators and other instances",
+            registry=self._registry,
+        )
+        self.held_descriptors = Gauge(
+            "heathertack_held_descriptors",
+            "Descriptors held for callers, operators and other instances",
+            registry=self._registry,
+        )
+        self.closed_holders = Counter(
+            "heathertack_closed_holders",
+            "Connections closed because all together held too much, by what",
+            ("reason",),
+            registry=self._registry,
+        )
         self.open_requests = Gauge(
             "heathertack_open_requests",
             "Requests in progress",
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -17,9 +18,10 @@
     build_frames,
     join_frames,
 )
-from heathertack.settings import Settings
+from heathertack.settings import Settings, resolve_limits
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
+from heathertackd._peer_connections import PeerConnectionLimit
 from heathertackd._supervision import FailureLog
 
 _MAX_QUEUED_MESSAGES = 1000
@@ -182,9 +184,23 @@
             raise PeerNetworkError(message) from error
         self._listener = listener
 
+    async def limit_connections(self) -> None:
+        """Close surplus connections until cancelled; :meth:`start` was called before.
+
+        Without a limit in the settings nothing is done.
+        """
+        limit = resolve_limits(self._settings).max_peer_connections
+        if limit is None or self._listener is None:
+            await asyncio.Event().wait()
+            return
+        peer = self._settings["peer"]
+        address = (peer["host"], peer["port"])
+        await PeerConnectionLimit(self._listener, address, limit, self._metrics).run()
+
     async def stop(self) -> None:
         """Close all connections."""
         if self._listener is not None:
+            self._listener.disable_monitor()
             self._listener.close()
         for sender in self._senders.values():
             sender.close()
--- a/packages/heathertackd/src/heathertackd/_response_bodies.py
+++ b/packages/heathertackd/src/heathertackd/_response_bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import aiohttp
 
 
@@ -25,9 +27,21 @@
         self._max_total_bytes = max_total_bytes
         self._used = 0
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytes:
+    async def read(
+        self,
+        response: aiohttp.ClientResponse,
+        hold: Callable[[int], None] = lambda size: None,
+    ) -> bytes:
         """Return the whole body; close the connection if it exceeds a limit.
 
+        Parameters
+        ----------
+        response : aiohttp.ClientResponse
+            The open response.
+        hold : callable
+            Counts a number of bytes that are held for the caller; its errors are
+            passed on.
+
         Raises
         ------
         ResponseTooLargeError
@@ -38,6 +52,7 @@
         body = bytearray()
         try:
             async for chunk in response.content.iter_any():
+                hold(len(chunk))
                 body += chunk
                 self._used += len(chunk)
                 self._check(len(body))
--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -12,7 +12,7 @@
 from heathertack.blackboard import BUNDLE
 from heathertack.settings import resolve_limits
 from heathertackd import _clock
-from heathertackd._bounded_server import BoundedAppRunner
+from heathertackd._bounded_server import BoundedAppRunner, listen
 from heathertackd._call_session import CallRunner, PlainClient
 from heathertackd._caller_api import CallerApi
 from heathertackd._caller_limits import choose_connection_bounds
@@ -71,6 +71,7 @@
         self._accepted_until = math.inf
         self._runner = BoundedAppRunner(
             app,
+            instance.caller_memory,
             handler_cancellation=True,
             access_log=None,
             max_field_size=limits.max_header_bytes,
@@ -86,9 +87,8 @@
         if server is None:
             raise RuntimeError("the runner has no server")
         http = self._instance.settings["http"]
-        self._listener = await asyncio.get_running_loop().create_server(
-            server, http["host"], http["port"]
-        )
+        memory = self._instance.caller_memory
+        self._listener = await listen(server, http["host"], http["port"], memory)
 
     def background_work(self) -> tuple[BackgroundWork, ...]:
         """Return the work that runs until the daemon stops."""
--- a/packages/heathertackd/src/heathertackd/_target_connections.py
+++ b/packages/heathertackd/src/heathertackd/_target_connections.py
@@ -24,7 +24,7 @@
 from heathertackd._logs import Logger
 from heathertackd._metrics import Metrics
 from heathertackd._relay_protocol import REPLIES, encode_request
-from heathertackd._sockets import detect_dead_peer
+from heathertackd._sockets import detect_dead_peer, limit_buffers
 
 #: Timeout for a connection by any path; a target that exceeds it counts as unreachable.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -85,6 +85,8 @@
         Logger of the instance.
     connect : callable or None
         Opens a direct connection to a target; :func:`open_directly` by default.
+    buffer_bytes : int or None
+        Size of each buffer of a socket; ``None`` leaves them to the kernel.
     """
 
     def __init__(
@@ -96,7 +98,9 @@
         logger: Logger,
         *,
         connect: Connect | None = None,
+        buffer_bytes: int | None = None,
     ) -> None:
+        self._buffer_bytes = buffer_bytes
         self._connect = connect or open_directly
         self._links = links
         self._send = send
@@ -106,6 +110,11 @@
         self._random = random.Random()
         self._announced: tuple[str, ...] = ()
 
+    @property
+    def buffer_bytes(self) -> int | None:
+        """Size of each buffer of a socket; ``None`` if the kernel chooses it."""
+        return self._buffer_bytes
+
     async def open(self, address: str) -> OpenedConnection:
         """Open a connection to an address.
 
@@ -124,6 +133,7 @@
             opened = await self._open_by_any_path(address)
         if opened is None:
             raise ConnectionRefusedError(f"{address}: no path leads to the target")
+        limit_buffers(opened.connection, self._buffer_bytes)
         CONNECTION_RELAY.set(opened.relay)
         if opened.relay:
             self._metrics.relayed_connections.labels("used").inc()
--- a/packages/heathertackd/src/heathertackd/_target_relay.py
+++ b/packages/heathertackd/src/heathertackd/_target_relay.py
@@ -19,6 +19,8 @@
 )
 from heathertack.messages import TargetState
 from heathertackd import _clock
+from heathertackd._bounded_server import ACCEPT_COUNT, open_listening_socket
+from heathertackd._caller_memory import CallerMemory
 from heathertackd._instance import Instance
 from heathertackd._relay_protocol import (
     END_FRAME,
@@ -26,7 +28,7 @@
     build_frame,
     decode_request,
 )
-from heathertackd._sockets import detect_dead_peer
+from heathertackd._sockets import detect_dead_peer, limit_buffers
 from heathertackd._target_connections import open_directly
 
 #: Maximum number of connections that are forwarded at one time; each needs two
@@ -43,6 +45,65 @@
 _REPLY_BYTES = {outcome: reply for reply, outcome in REPLIES.items()}
 
 
+class _RelayHolder:
+    """What a process holds for a connection of another instance to a target.
+
+    Parameters
+    ----------
+    memory : CallerMemory
+        Counts what is held.
+    writer : asyncio.StreamWriter
+        Connection of the other instance.
+    """
+
+    def __init__(self, memory: CallerMemory, writer: asyncio.StreamWriter) -> None:
+        self._memory = memory
+        self._writers = [writer]
+        _limit_reads(writer, memory)
+        memory.open(self)
+        self.count()
+
+    @property
+    def may_be_closed(self) -> bool:
+        """Whether nothing is forwarded yet, or one side does not read."""
+        return len(self._writers) == 1 or any(map(_is_blocked, self._writers))
+
+    def add_target(self, writer: asyncio.StreamWriter) -> None:
+        """Count the connection to the target."""
+        _limit_reads(writer, self._memory)
+        self._writers.append(writer)
+        self._memory.close(self)
+        self._memory.open(self, len(self._writers))
+        self.count()
+
+    def count(self) -> None:
+        """Count the buffers, which are full where a side does not read."""
+        buffer_bytes = self._memory.buffer_bytes or 0
+        held = _PIECE_BYTES * len(self._writers)
+        for writer in self._writers:
+            held += writer.transport.get_write_buffer_size()
+            if _is_blocked(writer):
+                # The other side is not read then, and its buffers fill, too.
+                held += 2 * (buffer_bytes + _PIECE_BYTES)
+        self._memory.update(self, held)
+
+    def drop(self) -> None:
+        """Abort the connection of the other instance, which sees that it broke."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+def _is_blocked(writer: asyncio.StreamWriter) -> bool:
+    return writer.transport.get_write_buffer_size() > 0
+
+
+def _limit_reads(writer: asyncio.StreamWriter, memory: CallerMemory) -> None:
+    """Read a connection in pieces that are no larger than the buffers."""
+    if memory.buffer_bytes is not None:
+        # The transport has no parameter for the size of its reads.
+        vars(writer.transport)["max_size"] = _PIECE_BYTES
+
+
 class TargetRelay:
     """Forwards bytes between other instances and targets.
 
@@ -60,6 +121,7 @@
         self._count = 0
         self._random = random.Random()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._memory = instance.caller_memory
 
     async def start(self) -> None:
         """Listen, if the settings name a port.
@@ -72,13 +134,18 @@
         peer = self._instance.settings["peer"]
         if "relay_port" not in peer:
             return
+        host, port = peer["host"], peer["relay_port"]
+        buffer_bytes = self._memory.buffer_bytes
+        if buffer_bytes is None:
+            self._server = await asyncio.start_server(
+                self._serve, host, port, limit=_PIECE_BYTES, backlog=_BACKLOG
+            )
+            return
+        listening = open_listening_socket(host, port, buffer_bytes, _BACKLOG)
         self._server = await asyncio.start_server(
-            self._serve,
-            peer["host"],
-            peer["relay_port"],
-            limit=_PIECE_BYTES,
-            backlog=_BACKLOG,
+            self._serve, sock=listening, limit=_PIECE_BYTES, backlog=ACCEPT_COUNT
         )
+        listening.listen(_BACKLOG)
 
     def stop(self) -> None:
         """Close the listener and all connections."""
@@ -92,6 +159,7 @@
     ) -> None:
         self._writers.add(writer)
         started_at = _clock.monotonic()
+        holder = _RelayHolder(self._memory, writer)
         try:
             detect_dead_peer(writer.get_extra_info("socket"))
             address = await _read_request(reader)
@@ -99,7 +167,7 @@
             writer.write(_REPLY_BYTES[outcome])
             forwarded = 0
             if target is not None:
-                forwarded = await self._forward(reader, writer, target)
+                forwarded = await self._forward(reader, writer, target, holder)
             else:
                 await writer.drain()
             self._log(writer, address, outcome, forwarded, started_at)
@@ -108,6 +176,7 @@
         finally:
             self._writers.discard(writer)
             writer.close()
+            self._memory.close(holder)
 
     async def _connect(self, address: str) -> tuple[RelayOutcome, socket.socket | None]:
         """Connect to a target for another instance, if that is possible now."""
@@ -165,9 +234,11 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         target: socket.socket,
+        holder: _RelayHolder,
     ) -> int:
         """Forward bytes until one side ends, and return how many came back."""
         drain = self._instance.drain
+        limit_buffers(target, self._memory.buffer_bytes)
         target_reader, target_writer = await asyncio.open_connection(
             sock=target, limit=_PIECE_BYTES
         )
@@ -175,8 +246,9 @@
         self._instance.metrics.relaying_connections.set(self._count)
         drain.handle(RequestOpened(), _clock.monotonic())
         forwarded = 0
-        up = asyncio.create_task(_copy(reader, target_writer))
-        down = asyncio.create_task(_copy_in_frames(target_reader, writer))
+        holder.add_target(target_writer)
+        up = asyncio.create_task(_copy(reader, target_writer, holder))
+        down = asyncio.create_task(_copy_in_frames(target_reader, writer, holder))
         try:
             await asyncio.wait((up, down), return_when=asyncio.FIRST_COMPLETED)
             if up.done() and up.exception() is not None and reader.exception() is None:
@@ -254,15 +326,19 @@
     return address
 
 
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def _copy(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, holder: _RelayHolder
+) -> None:
     """Copy bytes as they are until the end; the caller of the target has then left."""
     while data := await reader.read(_PIECE_BYTES):
         writer.write(data)
+        holder.count()
         await writer.drain()
+        holder.count()
 
 
 async def _copy_in_frames(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, holder: _RelayHolder
 ) -> int:
     """Copy bytes in frames, with the last one after an orderly end.
 
@@ -275,7 +351,9 @@
     while data := await reader.read(_PIECE_BYTES):
         count += len(data)
         writer.write(build_frame(data))
+        holder.count()
         await writer.drain()
+        holder.count()
     writer.write(END_FRAME)
     await writer.drain()
     return count
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 import hashlib
 import math
 from itertools import count
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -55,6 +56,9 @@
 #: election and a lease.
 _FIRST_BUNDLE_WAIT_SECONDS = 1.0
 _FIRST_BUNDLE_POLL_SECONDS = 0.05
+#: Buffer of a response where the memory of the machine is limited, bytes; the HTTP
+#: library stops to read at twice this size.
+_RESPONSE_BUFFER_BYTES = 64 * 1024
 #: Bytes of the request line besides method and path: two spaces, version, line end.
 _LINE_EXTRA_BYTES = 12
 #: Bytes of a header line besides name and value: colon, space, line end.
@@ -71,12 +75,16 @@
     connections : TargetConnections or None
         Selects the paths to targets; ``None`` for direct connections only.
     """
+    options: dict[str, Any] = {}
+    if connections is not None and connections.buffer_bytes is not None:
+        options["read_bufsize"] = _RESPONSE_BUFFER_BYTES
     return aiohttp.ClientSession(
         connector=TargetConnector(connections),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(prevent_resending,),
         trace_configs=[trace_transmissions()],
+        **options,
     )
 
 
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -35,6 +36,7 @@
 from heathertack.policy import ExecutionRecord, SendOutcome
 from heathertackd import _clock
 from heathertackd._background_tasks import start_background_task
+from heathertackd._bounded_server import ConnectionDroppedError, hold
 from heathertackd._refusals import not_run
 from heathertackd._target_connections import Reachability
 from heathertackd.forwarding._caller_events import CallerEvents
@@ -175,7 +177,7 @@
         except asyncio.CancelledError:
             self._finish("caller_left", ReservationOutcome.CANCELLED)
             raise
-        except (ConnectionError, aiohttp.ClientError) as error:
+        except (ConnectionError, aiohttp.ClientError, ConnectionDroppedError) as error:
             self._finish("caller_lost", ReservationOutcome.CANCELLED, repr(error))
             raise
         finally:
@@ -531,7 +533,7 @@
     async def _deliver_body(
         self, placement: TargetChosen, response: TargetResponse
     ) -> _Result:
-        result = await response.read()
+        result = await response.read(partial(hold, self._request))
         if isinstance(result, Failure):
             error: ExchangeError = result.failure()
             self._record_failure(placement, error)
--- a/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_target_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -167,10 +167,19 @@
         headers = self._response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
-    async def read(self) -> Result[bytes, ExchangeError]:
-        """Read and return the whole body."""
+    async def read(
+        self, hold: Callable[[int], None] = lambda size: None
+    ) -> Result[bytes, ExchangeError]:
+        """Read and return the whole body.
+
+        Parameters
+        ----------
+        hold : callable
+            Counts a number of bytes that are held for the caller; its errors are
+            passed on.
+        """
         try:
-            body = await self._memory.read(self._response)
+            body = await self._memory.read(self._response, hold)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return Failure(_may_have_run(repr(error)))
         if self._was_reset():
