Refuse queued requests at once that can't start in time, and let running ones move first

At twice the capacity, every eighth long stream was lost: a stream that had to leave its engine waited behind new requests of a higher priority. Others waited up to 3.6 s for a refusal, so that no second try could be in time, and every eighth short stream was granted an engine too late for its first event.

The owner decides this in controllers/_overload.py with the rates of policy/_band_rates.py: - requests that already run are served first; - a queued request is refused as soon as the measured rate of its account, priority and lateness says that it can't start before its latest start; - the latest start leaves the time that requests of the class take from the grant to the first event; - a head that doesn't fit isn't overtaken after 0.35 of its wait, since large requests were served less than half as often as others; - Retry-After gives the expected wait beyond the latest start, spread by half.

--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_overload_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_overload_simulation.py
@@ -320,11 +320,10 @@
 
     def _count_token(self, engine: _Engine, number: int, record: CallRecord) -> None:
         record.generated_tokens += 1
-        if record.generated_tokens == 1:
-            self._send_progress(record)
         if record.generated_tokens % EVENT_TOKENS == 0:
             if record.first_at is None:
                 record.first_at = self.now
+                self._send_progress(record)
             else:
                 pause = self.now - record.last_at
                 record.longest_pause = max(record.longest_pause, pause)
--- a/packages/heathertack/src/heathertack/controllers/_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any, ClassVar, assert_never
 
@@ -128,6 +129,13 @@
         ]
         return tuple(sorted(owned))
 
+    def take_refusal_counts(self) -> Counter[str]:
+        """Return the requests refused since the last call, by reason."""
+        counts: Counter[str] = Counter()
+        for group in self._groups.values():
+            counts.update(group.take_refusal_counts())
+        return counts
+
     def handle(self, event: AdmissionEvent, now: float) -> tuple[SendToPeer, ...]:
         """Handle an event and return the replies to send.
 
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -12,6 +12,7 @@
     WaitingRequest,
 )
 from heathertack.controllers._instance_pauses import InstancePauses
+from heathertack.controllers._overload import OverloadControl
 from heathertack.controllers._target_group import TargetGroup
 from heathertack.controllers._wait_estimator import WaitEstimator
 from heathertack.messages import (
@@ -21,7 +22,6 @@
     ReservationGrant,
     ReservationOutcome,
     ReservationQueued,
-    ReservationRefusal,
     ReservationRelease,
     ReservationRequest,
 )
@@ -81,6 +81,7 @@
         self._losses = TargetLossCounter()
         self._quantile = ReservedQuantile(tuning, now)
         self._waits = WaitEstimator(tuning.rate_window)
+        self._overload = OverloadControl(tuning)
         #: Part of each limited rate for each entry instance; ``None`` if this owner
         #: assigns the whole rates.
         self._rate_part: float | None = None
@@ -112,6 +113,10 @@
         """Targets that accept new requests."""
         return tuple(sorted(self._targets.usable))
 
+    def take_refusal_counts(self) -> Mapping[str, int]:
+        """Return the requests refused since the last call, by reason."""
+        return self._overload.take_refusal_counts()
+
     def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
         """Set the targets that accept new requests, with their capacities."""
         self._targets.set_capacities(capacities)
@@ -180,7 +185,11 @@
         if losses >= _LOSSES_TO_QUARANTINE:
             longest = self._tuning.retry_after_bounds[1]
             reason = f"{losses} targets were lost to this request"
-            return (self._refuse(request, instance, "quarantined", longest, reason),)
+            return (
+                self._overload.refuse(
+                    request, instance, "quarantined", longest, reason
+                ),
+            )
         queued = self._queue.remove(request.generation_id)
         user = self._rate_user(instance)
         is_paused = request.preferred_target in self._pauses.find(instance, now)
@@ -191,7 +200,9 @@
             refusal = self._refuse_early(request, instance, now)
             if refusal is not None:
                 return (refusal,)
-        self._enqueue(request, instance, queued, losses, now)
+        self._queue.add(
+            self._overload.build_queued(request, instance, queued, losses, now)
+        )
         replies = self.dispatch(now)
         if request.generation_id in self._queue:
             reply = ReservationQueued(request.generation_id, request.attempt)
@@ -229,6 +240,7 @@
             return generation_id in self._queue
         if generated_tokens:
             self._targets.end_transfer(generation_id)
+            self._overload.record_start(generation_id, now)
             self._targets.record_accepted(generation_id)
         self._charge(held, generated_tokens)
         self._store_reservation(
@@ -365,6 +377,7 @@
                     backups = None
             if target is not None:
                 self._queue.remove(queued.key)
+                self._overload.record_grant(queued, now)
                 replies.append(self._place(waiting, target, now))
                 continue
             if waiting.request.is_running:
@@ -375,45 +388,21 @@
             if self._waits_for_memory(waiting, now):
                 self._last_memory_wait_at = now
             skipped += 1
-            is_old_head = now - queued.queued_at >= self._tuning.head_age_limit
-            if is_old_head or skipped > self._tuning.look_ahead:
+            if self._overload.is_old(queued, now) or skipped > self._tuning.look_ahead:
                 break
-        backlog = sum(
-            1 for q in self._queue.ordered(now) if not self._may_pause(q, now)
-        )
-        self._waits.record_queue_length(backlog, now)
+        ordered = self._queue.ordered(now)
+        backlog = [q for q in ordered if not self._may_pause(q, now)]
+        refusals = self._overload.refuse_hopeless(backlog, now)
+        for refusal in refusals:
+            self._queue.remove(refusal.reply.generation_id)
+        self._waits.record_queue_length(len(backlog) - len(refusals), now)
+        replies.extend(refusals)
         return tuple(replies)
 
     def _may_pause(self, queued: QueuedItem[WaitingRequest], now: float) -> bool:
         """Return whether a request may wait only because targets pause for it."""
         return bool(self._pauses.find(queued.item.instance, now))
 
-    def _enqueue(
-        self,
-        request: ReservationRequest,
-        instance: str,
-        earlier: QueuedItem[WaitingRequest] | None,
-        losses: int,
-        now: float,
-    ) -> None:
-        """Add a request, or replace an earlier one and keep its place in the queue."""
-        queued_at = earlier.queued_at if earlier is not None else now
-        deadline = (
-            earlier.item.deadline if earlier is not None else now + request.max_wait
-        )
-        waiting = WaitingRequest(request, instance, deadline, now, losses)
-        self._queue.add(
-            QueuedItem(
-                request.generation_id,
-                request.account,
-                request.priority,
-                request.share,
-                queued_at,
-                waiting,
-                now + (request.latency_budget or float("inf")),
-            )
-        )
-
     def _refuse_early(
         self, request: ReservationRequest, instance: str, now: float
     ) -> AddressedReply | None:
@@ -433,33 +422,22 @@
             estimate = max(estimate, self._waits.drain_time(ahead + 1, now))
         if len(self._queue) >= self._tuning.queue_limit:
             reason = f"{len(self._queue)} requests wait already"
-            return self._refuse(request, instance, "queue_full", estimate, reason)
+            return self._overload.refuse(
+                request, instance, "queue_full", estimate, reason
+            )
         if estimate > request.max_wait:
             reason = f"the wait would be about {estimate:.1f} s"
             wait = estimate - request.max_wait
-            return self._refuse(request, instance, "overloaded", wait, reason)
+            return self._overload.refuse(request, instance, "overloaded", wait, reason)
         return None
 
     def _refuse_expired(self, waiting: WaitingRequest, now: float) -> AddressedReply:
         request = waiting.request
         wait = self._waits.drain_time(len(self._queue), now)
         reason = f"no target had room within {request.max_wait:.1f} s"
-        return self._refuse(request, waiting.instance, "overloaded", wait, reason)
-
-    def _refuse(
-        self,
-        request: ReservationRequest,
-        instance: str,
-        code: str,
-        retry_after: float,
-        reason: str,
-    ) -> AddressedReply:
-        shortest, longest = self._tuning.retry_after_bounds
-        wait = min(max(retry_after, shortest), longest)
-        refusal = ReservationRefusal(
-            request.generation_id, request.attempt, code, wait, reason
+        return self._overload.refuse(
+            request, waiting.instance, "overloaded", wait, reason
         )
-        return AddressedReply(instance, refusal)
 
     def _choose_target(self, waiting: WaitingRequest, now: float) -> str | None:
         """Return the target with the lowest score, ``None`` if all are full."""
@@ -641,6 +619,7 @@
             prefixes.record_sent(request.prefix)
         self._queue.charge(request.account, request.share, request.prompt_tokens)
         self._waits.record_grant(now)
+        self._overload.record_placed(request, now)
         grant = _grant(request, target, ledger_state, backup)
         return AddressedReply(waiting.instance, grant)
 
@@ -688,6 +667,7 @@
     def _remove_reservation(self, generation_id: str) -> None:
         held = self._held.pop(generation_id, None)
         self._targets.end_transfer(generation_id)
+        self._overload.record_end(generation_id)
         if held is None:
             return
         ledger = self._targets.find_ledger(held.target)
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -1,5 +1,6 @@
 """Estimators and policies for admission decisions."""
 
+from heathertack.policy._band_rates import Band, BandRates, spread_retry
 from heathertack.policy._crash_attribution import (
     CrashCause,
     LostRun,
@@ -27,6 +28,8 @@
     "ADMISSION_TUNING",
     "BLOCK_TOKENS",
     "AdmissionTuning",
+    "Band",
+    "BandRates",
     "CrashCause",
     "ExecutionRecord",
     "FairQueue",
@@ -51,4 +54,5 @@
     "projected_peak",
     "rank_instances",
     "rank_successors",
+    "spread_retry",
 ]
--- a/packages/heathertack/src/heathertack/policy/_fair_queue.py
+++ b/packages/heathertack/src/heathertack/policy/_fair_queue.py
@@ -21,11 +21,16 @@
     item: Item
     #: Time until which the request can still meet its latency objective.
     objective_deadline: float = float("inf")
+    #: Whether the request already runs and waits for another target to move to.
+    is_running: bool = False
 
 
 class FairQueue(Generic[Item]):
     """Orders requests by priority, tokens charged to their account, and age.
 
+    Requests that already run are served first: they are lost with their target if
+    they find no other one in time, and the work done for them with them.
+
     Requests that have missed their latency objective are served after all others,
     since serving them first would make further requests miss theirs.
 
@@ -79,8 +84,9 @@
 
     def _rank(
         self, queued: QueuedItem[Item], now: float
-    ) -> tuple[bool, int, float, float]:
+    ) -> tuple[bool, bool, int, float, float]:
         return (
+            not queued.is_running,
             now > queued.objective_deadline,
             -queued.priority,
             self._charged[queued.account],
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -537,6 +537,11 @@
                 raise StuckError(f"the step {stuck} keeps failing")
             await asyncio.sleep(pause)
 
+    def _count_refusals(self) -> None:
+        """Count the requests that this instance refused as their admission owner."""
+        for reason, count in self.admission.take_refusal_counts().items():
+            self.metrics.admission_refusals.labels(reason).inc(count)
+
     def _tick_controllers(self) -> None:
         now = _clock.monotonic()
         passed = TimePassed(_clock.wall_time())
@@ -551,6 +556,7 @@
                 "admission_tick",
                 lambda: self._carry_out(self.admission.handle(AdmissionDue(), now)),
             ),
+            ("refusal_counts", self._count_refusals),
             (
                 "placement_tick",
                 lambda: self._carry_out(self.placement.handle(PlacementDue(), now)),
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -62,6 +62,12 @@
             ("account", "code"),
             registry=self._registry,
         )
+        self.admission_refusals = Counter(
+            "heathertack_admission_refusals",
+            "Requests that this instance refused as their admission owner, by reason",
+            ("reason",),
+            registry=self._registry,
+        )
         self.brittle_targets = Gauge(
             "heathertack_brittle_targets",
             "Targets that bound the requests that they turn away",
