Refuse streams at once whose run can't end within their deadline

A request whose caller has too little time left for the run took an engine and was cut off at its deadline. Owners don't know the deadline. The entry instance takes what the fastest of its latest runs of the class would need, by prompt and the caller's estimate of the length, off the deadline: it refuses if nothing is left, and otherwise tells the owner no longer wait than that. Messages keep their format.

--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -21,6 +21,7 @@
 from heathertack.policy._request_rate import RateUser, RequestRates
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
+from heathertack.policy._run_pace import RunPace, RunPaceSample
 from heathertack.policy._target_loss_counter import TargetLossCounter
 from heathertack.policy._tuning import ADMISSION_TUNING, AdmissionTuning
 
@@ -44,6 +45,8 @@
     "RequestRates",
     "ReservedQuantile",
     "RetryBudget",
+    "RunPace",
+    "RunPaceSample",
     "SendOutcome",
     "TargetLedger",
     "TargetLossCounter",
--- a/packages/heathertackd/src/heathertackd/forwarding/_context.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_context.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from heathertack.controllers import Refusal
+from heathertack.policy import RunPace
 from heathertackd._instance import Instance
 from heathertackd._refusals import refusal_response
 from heathertackd.forwarding._dialect import ForwardingDialect
@@ -26,6 +27,8 @@
     stream_monitor: StreamMonitor
     #: Moves KV caches between engines; ``None`` if the engines can't do that.
     mover: KvCacheMover | None
+    #: Paces of the latest runs.
+    pace: RunPace
 
     def refuse(self, refusal: Refusal, status: int | None = None) -> web.Response:
         """Return the response to a refused request."""
--- a/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_forwarder.py
@@ -14,6 +14,7 @@
 from heathertack.blackboard import BUNDLE, LEASE, BundleView
 from heathertack.bundle import Bundle, ForwardingRoute
 from heathertack.controllers import Refusal, RequestClosed, RequestOpened, RunIdentity
+from heathertack.policy import RunPace
 from heathertack.routing import choose_service
 from heathertack.settings import resolve_limits
 from heathertackd import _clock
@@ -114,6 +115,7 @@
             RetryLimits(instance.board, instance.retry_allowance),
             StreamMonitor(instance.failures),
             mover,
+            RunPace(),
         )
         self._request_numbers = count(1)
         self._sessions: set[ForwardingSession] = set()
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -47,6 +47,7 @@
     build_move_reservation,
     build_reservation,
 )
+from heathertackd.forwarding._run_timing import RunTiming
 from heathertackd.forwarding._stream_mover import StreamMover
 from heathertackd.forwarding._stream_version import StreamVersion
 from heathertackd.forwarding._target_client import (
@@ -154,6 +155,7 @@
         account = context.instance.metrics.account_label(spec.account)
         self._labels = (account, spec.service)
         self._version = StreamVersion(context.instance, spec)
+        self._timing = RunTiming(context.pace, spec)
         self._stream = CallerEvents(
             request,
             spec.head.last_event_id,
@@ -413,12 +415,15 @@
     async def _request_placement_once(
         self, continuation: Continuation | None
     ) -> TargetChosen | PlacementDenied:
+        now = _clock.monotonic()
+        latest_start = self._timing.find_latest_start()
+        if continuation is None and now >= latest_start:
+            return self._deny_too_long_run(latest_start)
         self._attempt += 1
         self._has_placement = True
         self._placement_key = self._spec.key
         self._tokens_before_placement = 0
         self._decision = asyncio.get_running_loop().create_future()
-        now = _clock.monotonic()
         excluded = dict.fromkeys(
             (
                 *self._excluded_targets,
@@ -427,7 +432,10 @@
             )
         )
         reservation = build_reservation(self._spec, self._attempt, tuple(excluded), now)
-        if continuation is not None:
+        if continuation is None:
+            max_wait = min(reservation.max_wait, latest_start - now)
+            reservation = reservation._replace(max_wait=max_wait)
+        else:
             keeper = continuation.target
             accepts_run = accepts_new_work(self._instance.board, keeper)
             reservation = reservation._replace(
@@ -442,6 +450,17 @@
         self._instance.metrics.queue_wait.labels(*self._labels).observe(waited)
         return decision
 
+    def _deny_too_long_run(self, latest_start: float) -> PlacementDenied:
+        left = self._spec.deadline - _clock.monotonic()
+        shortest = self._spec.deadline - latest_start
+        return PlacementDenied(
+            self._placement_key,
+            self._attempt,
+            "overloaded",
+            _RETRY_AFTER_SECONDS,
+            f"the run takes at least {shortest:.1f} s, and {left:.1f} s are left",
+        )
+
     async def _send_to_target(
         self, placement: TargetChosen, continuation: Continuation | None
     ) -> _Result:
@@ -465,6 +484,7 @@
             last_event_id=self._stream.last_event_id,
             resumes=self._spec.head.resumed_request_id,
         )
+        self._timing.record_sent(_clock.monotonic())
         result = await self._client.send(target_request)
         if isinstance(result, Failure):
             error: ExchangeError = result.failure()
@@ -598,6 +618,7 @@
         if self._stream.count < _MIN_STARTED_EVENTS:
             self._record_start(_clock.monotonic())
         self._record_longest_gap()
+        self._timing.record_end(self._generated_tokens(), _clock.monotonic())
         delivered = f"{self._stream.count} events"
         self._finish("streamed", ReservationOutcome.FINISHED, delivered)
         return caller_response
@@ -625,6 +646,7 @@
         if not had_started and self._stream.count >= _MIN_STARTED_EVENTS:
             self._record_start(now)
         if is_first:
+            self._timing.record_first_event(now)
             waited = now - self._spec.received_at
             self._instance.metrics.first_token.labels(*self._labels).observe(waited)
             self._context.stream_monitor.add(self)
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -188,10 +188,12 @@
         self.attempts: list[ForwardAttempt] = []
         #: Maximum number of tokens that a request generates.
         self.max_tokens = 400
+        #: Estimate of the length that callers send, 0 for none.
+        self.expected_tokens = 0
 
     def read_request(self, headers: Headers) -> Result[RequestHead, str]:
         """Treat every request as a generation with a prompt of 100 tokens."""
-        size = GenerationSize(100, self.max_tokens)
+        size = GenerationSize(100, self.max_tokens, self.expected_tokens)
         return super().read_request(headers).map(lambda head: head._replace(size=size))
 
     def encode_request(
