--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -1,5 +1,6 @@
 """Estimators and policies for admission decisions."""
 
+from heathertack.policy._band_rates import Band, BandRates, spread_retry
 from heathertack.policy._call_durations import CallDurations
 from heathertack.policy._crash_attribution import (
     CrashCause,
@@ -22,6 +23,7 @@
 from heathertack.policy._request_rate import RateUser, RequestRates
 from heathertack.policy._reserved_quantile import ReservedQuantile
 from heathertack.policy._retry_budget import RetryBudget
+from heathertack.policy._run_pace import RunPace, RunPaceSample
 from heathertack.policy._target_loss_counter import TargetLossCounter
 from heathertack.policy._target_speed import (
     REFERENCE_TARGET,
@@ -39,6 +41,8 @@
     "REFERENCE_TARGET",
     "USUAL_SPEED",
     "AdmissionTuning",
+    "Band",
+    "BandRates",
     "CallDurations",
     "CrashCause",
     "ExecutionRecord",
@@ -56,6 +60,8 @@
     "RequestRates",
     "ReservedQuantile",
     "RetryBudget",
+    "RunPace",
+    "RunPaceSample",
     "SendOutcome",
     "TargetLedger",
     "TargetLossCounter",
@@ -69,4 +75,5 @@
     "projected_peak",
     "rank_instances",
     "rank_successors",
+    "spread_retry",
 ]
