Wait between searches for a leader after outdated values

Cause: with a leader that is lost after it named its values, the client looked for the next one without a pause, up to 0.9 s, and blocked the process. Change: the client pauses for 0.05 s whenever no leader is known.

--- a/packages/heathertackd/src/heathertackd/_evacuation_client.py
+++ b/packages/heathertackd/src/heathertackd/_evacuation_client.py
@@ -159,7 +159,7 @@
                 pending.is_answered.clear()
                 self._send(leader, pending.request)
                 await self._wait(pending)
-            if pending.is_stale:
+            if leader and pending.is_stale:
                 await asyncio.sleep(max(pending.earliest - _clock.monotonic(), 0.0))
             elif not pending.is_done:
                 await asyncio.sleep(_RETRY_INTERVAL_SECONDS)
--- a/packages/heathertackd/src/heathertackd/tests/test_evacuation_client.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_evacuation_client.py
@@ -18,6 +18,8 @@
 _STALE = EvacuationStatus.STALE
 _NOT_LEADER = EvacuationStatus.NOT_LEADER
 _UNAVAILABLE = EvacuationStatus.UNAVAILABLE
+#: Searches for a leader during the 0.4 s of an order, with a margin of 2.
+_MAX_SEARCHES = 20
 
 
 class _Logger:
@@ -37,11 +39,13 @@
         self.leader = leader
         self.sent: list[tuple[str, EvacuationRequest]] = []
         self.logger = _Logger()
+        #: Number of times that the leader was asked for.
+        self.searches = 0
         self.terms = {name: number for number, name in enumerate(replies, start=4)}
         self._replies = replies
         self.client = EvacuationClient(
             self._send,
-            lambda: self.leader,
+            self._find_leader,
             self.logger,  # type: ignore[arg-type]
         )
 
@@ -58,6 +62,10 @@
             sender, EvacuationReply(request.request_id, status, "", term, 2)
         )
 
+    def _find_leader(self) -> str:
+        self.searches += 1
+        return self.leader
+
     def _send(self, instance: str, request: EvacuationRequest) -> None:
         self.sent.append((instance, request))
         script = self._replies[instance]
@@ -115,6 +123,16 @@
         instances.reply("a", instances.sent[0][1], _DONE)
         assert await task
 
+    # Guards against a loop that blocks the process while no leader is known, after one
+    # that was lost had named its values.
+    async def test_wait_for_a_leader_leaves_time_to_others(self) -> None:
+        instances = _Instances("a", a=[_STALE, _STALE])
+        task = asyncio.create_task(instances.client.confirm(_ORDER, 0.4))
+        await asyncio.sleep(0.05)
+        instances.leader = ""
+        assert not await task
+        assert instances.searches <= _MAX_SEARCHES
+
     # Guards against an order that the lost leader proposed, and that no one asks for
     # at the next leader before the operator gives up.
     async def test_next_leader_is_asked_at_once(self) -> None:
