Watch connections of other instances only where the settings limit them

Cause: the work ran, idle, in every deployment, and test_policy_of_each_task failed. The gauges of the budget were set at each piece that is read.

Change: the work is declared only with max_peer_connections; the gauges are read when the metrics are.

--- a/packages/heathertackd/src/heathertackd/_caller_memory.py
+++ b/packages/heathertackd/src/heathertackd/_caller_memory.py
@@ -101,6 +101,8 @@
         self._descriptors = 0
         self._closed_count = 0
         self._next_line_at = 0.0
+        metrics.held_bytes.set_function(lambda: self._held_bytes)
+        metrics.held_descriptors.set_function(lambda: self._descriptors)
 
     @property
     def buffer_bytes(self) -> int | None:
@@ -125,7 +127,6 @@
         while limit is not None and self._descriptors > limit:
             if not self._close_one(holder, "descriptors"):
                 break
-        self._show()
 
     def close(self, holder: MemoryHolder) -> None:
         """Give back all that a holder holds; further calls do nothing."""
@@ -134,7 +135,6 @@
             return
         self._held_bytes -= holding.held_bytes
         self._descriptors -= holding.descriptors
-        self._show()
 
     def restart(self, holder: MemoryHolder) -> None:
         """Count the age of a holder from now on: it has been answered."""
@@ -164,7 +164,6 @@
             while self._held_bytes > limit and holder in self._holdings:
                 if not self._close_one(holder, "memory"):
                     break
-        self._show()
         return holder in self._holdings
 
     def _close_one(self, cause: MemoryHolder, reason: str) -> bool:
@@ -204,7 +203,3 @@
             closed=self._closed_count,
         )
         self._closed_count = 0
-
-    def _show(self) -> None:
-        self._metrics.held_bytes.set(self._held_bytes)
-        self._metrics.held_descriptors.set(self._descriptors)
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -319,14 +319,17 @@
         An instance whose leases are not renewed, or that hears of no other one, must
         not go on: others rely on what it reports, and it on what they tell.
         """
-        return (
+        work = [
             BackgroundWork(
                 "peer_receiver", self.network.receive_all, FailurePolicy.LEAVE
             ),
             BackgroundWork("ticks", self._run_ticks, FailurePolicy.LEAVE),
             BackgroundWork("target_links", self.connections.run_probes),
-            BackgroundWork("peer_connections", self.network.limit_connections),
-        )
+        ]
+        if self.network.has_connection_limit:
+            watch = self.network.limit_connections
+            work.append(BackgroundWork("peer_connections", watch))
+        return tuple(work)
 
     async def stop(self) -> None:
         """Stop the control log and close the connections to other instances."""
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -153,6 +152,12 @@
             zmq.curve_public(self._secret_key) if self._is_encrypted else b""
         )
         self._unreachable: set[str] = set()
+        self._max_connections = resolve_limits(settings).max_peer_connections
+
+    @property
+    def has_connection_limit(self) -> bool:
+        """Whether the settings limit the connections of other instances."""
+        return self._max_connections is not None
 
     async def start(self) -> None:
         """Open the listener.
@@ -187,12 +192,14 @@
     async def limit_connections(self) -> None:
         """Close surplus connections until cancelled; :meth:`start` was called before.
 
-        Without a limit in the settings nothing is done.
+        Raises
+        ------
+        PeerNetworkError
+            If the listener is not open, or the settings name no limit.
         """
-        limit = resolve_limits(self._settings).max_peer_connections
+        limit = self._max_connections
         if limit is None or self._listener is None:
-            await asyncio.Event().wait()
-            return
+            raise PeerNetworkError("no listener whose connections are limited")
         peer = self._settings["peer"]
         address = (peer["host"], peer["port"])
         await PeerConnectionLimit(self._listener, address, limit, self._metrics).run()
