--- a/packages/heathertackd/src/heathertackd/_bounded_server.py
+++ b/packages/heathertackd/src/heathertackd/_bounded_server.py
@@ -418,12 +418,27 @@
 
 
 async def listen(
-    server: web.Server, host: str, port: int, memory: CallerMemory
+    server: web.Server,
+    host: str,
+    port: int,
+    memory: CallerMemory,
+    backlog: int = BACKLOG,
 ) -> asyncio.Server:
-    """Listen for connections, which are accepted a few at a time.
+    """Listen for connections, which are accepted a few at a time if they are limited.
 
-    The event loop accepts as many connections in one step as may wait for it, before
-    any of them is counted.
+    The event loop would accept as many connections in one step as may wait for it,
+    before any of them is counted.
+
+    Parameters
+    ----------
+    server : web.Server
+        Serves the connections.
+    host, port : str and int
+        Address to listen at.
+    memory : CallerMemory
+        Counts what the connections hold.
+    backlog : int
+        Number of callers that may wait to be accepted.
 
     Raises
     ------
@@ -432,10 +447,10 @@
     """
     loop = asyncio.get_running_loop()
     if memory.buffer_bytes is None:
-        return await loop.create_server(server, host, port, backlog=BACKLOG)
-    listening = open_listening_socket(host, port, memory.buffer_bytes, BACKLOG)
+        return await loop.create_server(server, host, port, backlog=backlog)
+    listening = open_listening_socket(host, port, memory.buffer_bytes, backlog)
     opened = await loop.create_server(server, sock=listening, backlog=ACCEPT_COUNT)
-    listening.listen(BACKLOG)
+    listening.listen(backlog)
     return opened
 
 
--- a/packages/heathertackd/src/heathertackd/_standard_frontend.py
+++ b/packages/heathertackd/src/heathertackd/_standard_frontend.py
@@ -38,6 +38,8 @@
 #: Maximum wait for open connections after the listener is closed. One that opened at
 #: that moment is told to close before it reads, and then never ends by itself.
 _CLOSE_TIMEOUT_SECONDS = 1.0
+#: Number of callers that may wait to be accepted.
+_BACKLOG = 100
 
 
 class StandardFrontend:
@@ -88,7 +90,9 @@
             raise RuntimeError("the runner has no server")
         http = self._instance.settings["http"]
         memory = self._instance.caller_memory
-        self._listener = await listen(server, http["host"], http["port"], memory)
+        self._listener = await listen(
+            server, http["host"], http["port"], memory, _BACKLOG
+        )
 
     def background_work(self) -> tuple[BackgroundWork, ...]:
         """Return the work that runs until the daemon stops."""
