--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -202,6 +202,7 @@
             waiting = WaitingRequest(request, instance, now, now, losses)
             return (self._place(waiting, request.preferred_target, now),)
         if queued is None and not request.is_running:
+            self._targets.record_request(request, self._predict(request, 0), now)
             refusal = self._refuse_early(request, instance, now)
             if refusal is not None:
                 return (refusal,)
@@ -390,6 +391,7 @@
                 continue
             if self._waits_for_memory(waiting, now):
                 self._last_memory_wait_at = now
+                self._targets.record_memory_wait(now)
             skipped += 1
             if self._overload.is_old(queued, now) or skipped > self._tuning.look_ahead:
                 break
@@ -501,7 +503,9 @@
             keys = backups.get(target, ())
             if not keys:
                 continue
-            dropped = self._select_backups_to_drop(request, target, candidate, keys)
+            dropped = self._select_backups_to_drop(
+                request, target, candidate, keys, now
+            )
             if dropped and (best is None or (len(dropped), target) < best[:2]):
                 best = (len(dropped), target, dropped)
         if best is None:
@@ -514,6 +518,7 @@
         target: str,
         candidate: LedgerEntry,
         keys: tuple[str, ...],
+        now: float,
     ) -> tuple[str, ...]:
         """Return the generations whose backups must be dropped for a request to fit."""
         ledger = self._targets.find_ledger(target)
@@ -531,13 +536,13 @@
         try:
             for key, _ in entries:
                 ledger.release(_backup_key(key))
-            if not self._targets.fits(request, target, candidate):
+            if not self._targets.fits(request, target, candidate, now):
                 return ()
             # Reserves the smallest ones again for as long as the request fits.
             while dropped > 1:
                 key, entry = entries[dropped - 1]
                 ledger.reserve_backup(_backup_key(key), entry)
-                if not self._targets.fits(request, target, candidate):
+                if not self._targets.fits(request, target, candidate, now):
                     break
                 dropped -= 1
             return tuple(key for key, _ in entries[:dropped])
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -9,6 +9,7 @@
 from heathertack.policy import (
     USUAL_SPEED,
     AdmissionTuning,
+    BriefRequestRoom,
     CallDurations,
     GenerationProgress,
     LedgerEntry,
@@ -55,6 +56,7 @@
         self._transfers: dict[str, frozenset[str]] = {}
         self._rates = RequestRates()
         self._bounds = RejectionBounds(now)
+        self._room = BriefRequestRoom()
         self._speeds = TargetSpeeds()
         self._calls = CallDurations()
 
@@ -351,7 +353,7 @@
         now : float
             Monotonic clock, seconds.
         """
-        load = self._project_load(request, target, candidate)
+        load = self._project_load(request, target, candidate, now)
         speed = self._find_speed(target, now)
         if load is None or speed == USUAL_SPEED:
             return load
@@ -364,13 +366,31 @@
         return _scale(load, cost)
 
     def fits(
-        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+        self,
+        request: ReservationRequest,
+        target: str,
+        candidate: LedgerEntry,
+        now: float,
     ) -> bool:
         """Return whether a target has room for a request."""
-        return self._project_load(request, target, candidate) is not None
+        return self._project_load(request, target, candidate, now) is not None
+
+    def record_request(
+        self, request: ReservationRequest, candidate: LedgerEntry, now: float
+    ) -> None:
+        """Record the predicted cache use of a new request."""
+        self._room.record_request(request.class_name, candidate, now)
+
+    def record_memory_wait(self, now: float) -> None:
+        """Record that a request waits for memory."""
+        self._room.record_memory_wait(now)
 
     def _project_load(
-        self, request: ReservationRequest, target: str, candidate: LedgerEntry
+        self,
+        request: ReservationRequest,
+        target: str,
+        candidate: LedgerEntry,
+        now: float,
     ) -> float | None:
         """Return the load of a target with a request added, ``None`` if it is full."""
         tuning = self._tuning
@@ -387,6 +407,8 @@
             > tuning.large_request_fraction * capacity
         ):
             limit = tuning.large_cache_limit * capacity
+        if not request.is_running:
+            limit -= self._room.find(request.class_name, now)
         if not ledger.is_empty and ledger.cached + request.prompt_tokens > limit:
             return None
         peak = ledger.peak_with(candidate)
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -423,9 +423,11 @@
         scored: list[str] = []
         project = TargetGroup._project_load  # both scores and fits are counted
 
-        def count(self: TargetGroup, request: Any, target: str, entry: Any) -> Any:
+        def count(
+            self: TargetGroup, request: Any, target: str, entry: Any, now: float
+        ) -> Any:
             scored.append(target)
-            return project(self, request, target, entry)
+            return project(self, request, target, entry, now)
 
         monkeypatch.setattr(TargetGroup, "_project_load", count)
         group.store(group.group.dispatch(1.0))
--- a/packages/heathertack/src/heathertack/policy/__init__.py
+++ b/packages/heathertack/src/heathertack/policy/__init__.py
@@ -1,6 +1,7 @@
 """Estimators and policies for admission decisions."""
 
 from heathertack.policy._band_rates import Band, BandRates, spread_retry
+from heathertack.policy._brief_request_room import BriefRequestRoom
 from heathertack.policy._call_durations import CallDurations
 from heathertack.policy._crash_attribution import (
     CrashCause,
@@ -43,6 +44,7 @@
     "AdmissionTuning",
     "Band",
     "BandRates",
+    "BriefRequestRoom",
     "CallDurations",
     "CrashCause",
     "ExecutionRecord",
