Bound what messages of other instances hold before they are whole

Cause: libzmq keeps what has arrived of each message, up to 64 MB on each connection, and nothing limited all of them together.

--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -58,6 +58,9 @@
     max_held_descriptors: NotRequired[Integer]
     #: Maximum number of connections from other instances; without it there is no limit.
     max_peer_connections: NotRequired[Integer]
+    #: Maximum memory of their messages that are not whole, all together, bytes; without
+    #: it there is no limit.
+    max_open_message_bytes: NotRequired[Integer]
     #: Size of each of the two buffers of a socket, bytes; by default the kernel's.
     socket_buffer_bytes: NotRequired[Integer]
     #: Maximum time that one write to a caller may block, seconds.
@@ -151,6 +154,9 @@
     max_held_descriptors: int | None = None
     #: Maximum number of connections from other instances; ``None`` for no limit.
     max_peer_connections: int | None = None
+    #: Maximum memory of all their messages that are not whole, bytes; ``None`` for no
+    #: limit.
+    max_open_message_bytes: int | None = None
     #: Size of each of the two buffers of a socket, bytes; ``None`` for that of the
     #: kernel.
     socket_buffer_bytes: int | None = None
--- a/packages/heathertack/src/heathertack/settings/_parse.py
+++ b/packages/heathertack/src/heathertack/settings/_parse.py
@@ -20,6 +20,8 @@
 #: Smaller limits leave no room for operators, other instances and a few callers.
 MIN_HELD_DESCRIPTORS = 16
 MIN_PEER_CONNECTIONS = 16
+#: As large as the document of an operator may be, which instances send to each other.
+MIN_OPEN_MESSAGE_BYTES = 16 * 1024 * 1024
 MIN_SOCKET_BUFFER_BYTES = 4096
 
 
@@ -98,6 +100,7 @@
         "max_held_bytes": MIN_HELD_BODIES * resolve_limits(settings).max_body_bytes,
         "max_held_descriptors": MIN_HELD_DESCRIPTORS,
         "max_peer_connections": MIN_PEER_CONNECTIONS,
+        "max_open_message_bytes": MIN_OPEN_MESSAGE_BYTES,
         "socket_buffer_bytes": MIN_SOCKET_BUFFER_BYTES,
     }
 
--- a/packages/heathertack/src/heathertack/settings/tests/test_settings.py
+++ b/packages/heathertack/src/heathertack/settings/tests/test_settings.py
@@ -65,6 +65,12 @@
         "$.limits.max_peer_connections",
         "at least 16",
     ),
+    (
+        "small messages",
+        {"limits": {"max_open_message_bytes": 1}},
+        "$.limits.max_open_message_bytes",
+        "at least 16777216",
+    ),
     (
         "small buffers",
         {"limits": {"socket_buffer_bytes": 0}},
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -152,12 +152,17 @@
             zmq.curve_public(self._secret_key) if self._is_encrypted else b""
         )
         self._unreachable: set[str] = set()
-        self._max_connections = resolve_limits(settings).max_peer_connections
+        self._limits = resolve_limits(settings)
+        self._connection_limit: PeerConnectionLimit | None = None
 
     @property
     def has_connection_limit(self) -> bool:
         """Whether the settings limit the connections of other instances."""
-        return self._max_connections is not None
+        limits = (
+            self._limits.max_peer_connections,
+            self._limits.max_open_message_bytes,
+        )
+        return limits != (None, None)
 
     async def start(self) -> None:
         """Open the listener.
@@ -195,14 +200,19 @@
         Raises
         ------
         PeerNetworkError
-            If the listener is not open, or the settings name no limit.
+            If the listener is not open.
         """
-        limit = self._max_connections
-        if limit is None or self._listener is None:
-            raise PeerNetworkError("no listener whose connections are limited")
+        if self._listener is None:
+            raise PeerNetworkError("the listener is not open")
         peer = self._settings["peer"]
-        address = (peer["host"], peer["port"])
-        await PeerConnectionLimit(self._listener, address, limit, self._metrics).run()
+        self._connection_limit = PeerConnectionLimit(
+            self._listener,
+            (peer["host"], peer["port"]),
+            self._limits.max_peer_connections,
+            self._limits.max_open_message_bytes,
+            self._metrics,
+        )
+        await self._connection_limit.run()
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -277,6 +287,9 @@
                 # libzmq reports a message that it drops with its closed connection.
                 self._logger.info("peer_message_withdrawn")
                 continue
+            if self._connection_limit is not None:
+                number = frames[0].get(zmq.SRCFD)
+                self._connection_limit.record_delivered(int(number))
             sender = self._identify(frames[0])
             parts = [frame.bytes for frame in frames[1:]]
             self._metrics.peer_messages.labels("received").inc()
