--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -537,7 +537,7 @@
                 raise StuckError(f"the step {stuck} keeps failing")
             await asyncio.sleep(pause)
 
-    def _count_refusals(self) -> None:
+    def count_refusals(self) -> None:
         """Count the requests that this instance refused as their admission owner."""
         for reason, count in self.admission.take_refusal_counts().items():
             self.metrics.admission_refusals.labels(reason).inc(count)
@@ -556,7 +556,7 @@
                 "admission_tick",
                 lambda: self._carry_out(self.admission.handle(AdmissionDue(), now)),
             ),
-            ("refusal_counts", self._count_refusals),
+            ("refusal_counts", self.count_refusals),
             (
                 "placement_tick",
                 lambda: self._carry_out(self.placement.handle(PlacementDue(), now)),
