--- a/packages/heathertack-fakes/src/heathertack_fakes/tests/evacuation_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/tests/evacuation_simulation.py
@@ -22,7 +22,7 @@
     AnnounceReceived,
     ColdStart,
     ColdTargetsReceived,
-    EvacuationsReceived,
+    EvacuatedTargetsReceived,
     InstanceIdentity,
     LeaderHintReceived,
     LeaseDue,
@@ -152,7 +152,7 @@
             case TargetVersions():
                 return self.holder.handle(TargetVersionsReceived(message), now)
             case EvacuatedTargets():
-                return self.holder.handle(EvacuationsReceived(message), now)
+                return self.holder.handle(EvacuatedTargetsReceived(message), now)
             case ColdTargets():
                 return self.holder.handle(ColdTargetsReceived(message), now)
             case ReservationRequest():
--- a/packages/heathertack/src/heathertack/controllers/__init__.py
+++ b/packages/heathertack/src/heathertack/controllers/__init__.py
@@ -128,7 +128,7 @@
 )
 from heathertack.controllers._lease_holder import (
     ColdTargetsReceived,
-    EvacuationsReceived,
+    EvacuatedTargetsReceived,
     InstanceIdentity,
     LeaderHintReceived,
     LeaseDue,
@@ -282,8 +282,8 @@
     "EndReceived",
     "EngineLoad",
     "EngineWeights",
+    "EvacuatedTargetsReceived",
     "EvacuationReceived",
-    "EvacuationsReceived",
     "Execution",
     "FailResponse",
     "GenerationAction",
--- a/packages/heathertack/src/heathertack/controllers/_lease_holder.py
+++ b/packages/heathertack/src/heathertack/controllers/_lease_holder.py
@@ -73,7 +73,7 @@
     versions: TargetVersions
 
 
-class EvacuationsReceived(NamedTuple):
+class EvacuatedTargetsReceived(NamedTuple):
     """A leader named the evacuated failure domains and their targets."""
 
     evacuated: EvacuatedTargets
@@ -100,7 +100,7 @@
     | ReportedStateChanged
     | LeaseGrantReceived
     | TargetVersionsReceived
-    | EvacuationsReceived
+    | EvacuatedTargetsReceived
     | ColdTargetsReceived
     | LeaderHintReceived
     | LeavingTargetsChanged
@@ -208,7 +208,7 @@
                 return self._apply_grant(event.grant, now)
             case TargetVersionsReceived():
                 return self._apply_versions(event.versions)
-            case EvacuationsReceived():
+            case EvacuatedTargetsReceived():
                 self._evacuations.receive(event.evacuated, self._term, now)
                 return ()
             case ColdTargetsReceived():
--- a/packages/heathertack/src/heathertack/controllers/tests/test_evacuated_targets.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_evacuated_targets.py
@@ -16,7 +16,7 @@
     Section,
 )
 from heathertack.controllers import (
-    EvacuationsReceived,
+    EvacuatedTargetsReceived,
     LeaseDue,
     LeaseGrantReceived,
     LeaseRequested,
@@ -109,7 +109,7 @@
             if self.loses_all:
                 continue
             if isinstance(message, EvacuatedTargets) and not self.loses_evacuations:
-                controller.handle(EvacuationsReceived(message), self.now)
+                controller.handle(EvacuatedTargetsReceived(message), self.now)
             elif isinstance(message, TargetVersions):
                 controller.handle(TargetVersionsReceived(message), self.now)
             elif isinstance(message, LeaseGrant):
@@ -204,7 +204,9 @@
         published.begin_term(2, "b")
         published.renew()
         former = EvacuatedTargets(1, ("a1",), ("a",))
-        published.holder.controller.handle(EvacuationsReceived(former), published.now)
+        published.holder.controller.handle(
+            EvacuatedTargetsReceived(former), published.now
+        )
         published.renew()
         assert published.board.read(EVACUATED_DOMAINS) == {"b"}
 
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -44,8 +44,8 @@
     ControlLogEvent,
     CopyDropped,
     DrainController,
+    EvacuatedTargetsReceived,
     EvacuationReceived,
-    EvacuationsReceived,
     InstanceIdentity,
     JoinReceived,
     LeaderHintReceived,
@@ -746,7 +746,7 @@
                 versions = TargetVersionsReceived(message)
                 self._carry_out(self.lease_holder.handle(versions, now))
             case EvacuatedTargets():
-                evacuated = EvacuationsReceived(message)
+                evacuated = EvacuatedTargetsReceived(message)
                 self._carry_out(self.lease_holder.handle(evacuated, now))
             case ColdTargets():
                 cold = ColdTargetsReceived(message)
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -473,7 +473,7 @@
         return decision
 
     def _deny_too_long_run(self, latest_start: float) -> PlacementDenied:
-        left = self._spec.deadline - _clock.monotonic()
+        left = max(self._spec.deadline - _clock.monotonic(), 0.0)
         shortest = self._spec.deadline - latest_start
         return PlacementDenied(
             self._placement_key,
