Run tests that start daemons one after the other again

Cause: pytest-xdist reads the groups in the hook that marks them, before it: its plugin is registered later. Change: the marks are set first, with a group for each package; tests that measure the memory of processes run alone after the others.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 # Processes that run tests; those with real daemons run in one of them.
 WORKERS ?= 4
 BIN := $(VENV)/bin
+# Tests that measure the memory of processes run apart from all others.
+CROWDS := platform/src/heathertack_platform/tests/test_caller_memory.py
 PACKAGES := heathertack heathertackd heathertack-cli heathertack-fakes
 SOURCES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml constraints.txt
 
@@ -19,7 +21,8 @@
 	$(BIN)/ruff format --check packages platform
 	$(BIN)/ruff check packages platform
 	$(BIN)/mypy packages/*/src platform/src
-	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup --durations=15
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup --durations=15 --ignore=$(CROWDS)
+	$(BIN)/python -m pytest $(CROWDS)
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m heathertack_fakes.demo --bin $(BIN)
--- a/conftest.py
+++ b/conftest.py
@@ -49,6 +49,7 @@
     )
 
 
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
@@ -60,8 +61,10 @@
     items[:] = [item for item in items if (item.nodeid in known) == runs_known_red]
     for item in items:
         if _starts_daemons(item):
-            # One after the other: they wait for processes, and bound their waits.
-            item.add_marker(pytest.mark.xdist_group("daemons"))
+            # Those of a package run one after the other: they wait for processes, and
+            # bound their waits. pytest-xdist reads the groups in the same hook.
+            package = item.path.relative_to(config.rootpath).parts[:2]
+            item.add_marker(pytest.mark.xdist_group("-".join(package)))
 
 
 def _starts_daemons(item: pytest.Item) -> bool:
