--- a/packages/heathertack-fakes/src/heathertack_fakes/measure/_overload_simulation.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/measure/_overload_simulation.py
@@ -24,7 +24,10 @@
 
 #: The tuning of the platform's daemon.
 TUNING = AdmissionTuning(
-    prefill_budget=4096, retry_after_bounds=(0.3, 10.0), batch_limit=64
+    controls_overload=True,
+    prefill_budget=4096,
+    retry_after_bounds=(0.3, 10.0),
+    batch_limit=64,
 )
 SLOTS = 24
 CACHE_TOKENS = 26_964
--- a/packages/heathertack/src/heathertack/controllers/_overload.py
+++ b/packages/heathertack/src/heathertack/controllers/_overload.py
@@ -103,8 +103,10 @@
 
     def is_old(self, queued: QueuedItem[WaitingRequest], now: float) -> bool:
         """Return whether no request may overtake a head that does not fit."""
-        longest_wait = queued.item.deadline - queued.queued_at
-        limit = min(self._tuning.head_age_limit, longest_wait * _HEAD_WAIT_FRACTION)
+        limit = self._tuning.head_age_limit
+        if self._tuning.controls_overload:
+            longest_wait = queued.item.deadline - queued.queued_at
+            limit = min(limit, longest_wait * _HEAD_WAIT_FRACTION)
         return now - queued.queued_at >= limit
 
     def record_grant(self, queued: QueuedItem[WaitingRequest], now: float) -> None:
@@ -141,6 +143,8 @@
         now : float
             Monotonic clock, seconds.
         """
+        if not self._tuning.controls_overload:
+            return ()
         waiting = [(q, _find_band(q, now)) for q in queue if not q.is_running]
         self._rates.record_backlog({band for _, band in waiting}, now)
         ahead: Counter[Band] = Counter()
@@ -199,7 +203,9 @@
         """
         self._refusal_counts[reason or code] += 1
         shortest, longest = self._tuning.retry_after_bounds
-        delay = spread_retry(request.generation_id, max(retry_after, shortest))
+        delay = max(retry_after, shortest)
+        if self._tuning.controls_overload:
+            delay = spread_retry(request.generation_id, delay)
         refusal = ReservationRefusal(
             request.generation_id, request.attempt, code, min(delay, longest), text
         )
@@ -216,6 +222,8 @@
         budget = request.latency_budget
         if not budget:
             return math.inf
+        if not self._tuning.controls_overload:
+            return now + budget
         start = _START_MARGIN * self._start_seconds.get(_find_class(request), 0.0)
         return now + budget - max(start - budget * _RESERVED_FRACTION, 0.0)
 
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -408,7 +408,7 @@
             > tuning.large_request_fraction * capacity
         ):
             limit = tuning.large_cache_limit * capacity
-        if not request.is_running:
+        if tuning.controls_overload and not request.is_running:
             position = self._positions[target]
             limit -= self._room.find(request.class_name, position, now)
         if not ledger.is_empty and ledger.cached + request.prompt_tokens > limit:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -55,9 +55,16 @@
     """An admission group that stores its replies by generation."""
 
     def __init__(
-        self, engines: int = 1, capacity: int = 1000, backup_load_limit: float = 0.4
+        self,
+        engines: int = 1,
+        capacity: int = 1000,
+        backup_load_limit: float = 0.4,
+        *,
+        controls_overload: bool = False,
     ) -> None:
-        tuning = TUNING._replace(backup_load_limit=backup_load_limit)
+        tuning = TUNING._replace(
+            backup_load_limit=backup_load_limit, controls_overload=controls_overload
+        )
         self.group = AdmissionGroup("tutor:0", tuning, LengthEstimator(), 0.0)
         self.group.set_targets(
             {f"e{i}": TargetCapacity(capacity) for i in range(engines)}
--- a/packages/heathertack/src/heathertack/controllers/tests/test_overload.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_overload.py
@@ -10,7 +10,9 @@
 )
 from heathertack.policy import AdmissionTuning, LengthEstimator
 
-TUNING = AdmissionTuning(takeover_delay=0.0, retry_after_bounds=(0.3, 10.0))
+TUNING = AdmissionTuning(
+    takeover_delay=0.0, retry_after_bounds=(0.3, 10.0), controls_overload=True
+)
 #: Load of these tests: one engine with room for one request at a time, which a request
 #: leaves every 0.2 s, and requests that may wait 1.35 s.
 INTERVAL_SECONDS = 0.2
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -66,6 +66,9 @@
     queue_limit: int = 512
     #: Window over which the rate of grants is measured, seconds.
     rate_window: float = 10.0
+    #: Whether requests that can't start in time are refused before their wait is over,
+    #: and long requests leave room for brief ones.
+    controls_overload: bool = False
     #: Bounds of the retry delay that is sent with a refusal, seconds.
     retry_after_bounds: tuple[float, float] = (1.0, 60.0)
 
--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -134,6 +134,9 @@
     log_level: NotRequired[str]
     #: Resource limits of this instance.
     limits: NotRequired[LimitSettings]
+    #: Whether requests that can't start in time are refused at once, and room is kept
+    #: for brief requests; false by default.
+    overload_control: NotRequired[bool]
 
 
 class Limits(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -264,6 +264,8 @@
         self.leaving_targets = LeavingTargetsController(board)
         self.pauses = TargetPauseController(board)
         self.links = TargetLinkController(board, self.name, settings["failure_domain"])
+        controls_overload = settings.get("overload_control", False)
+        tuning = tuning._replace(controls_overload=controls_overload)
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board, self.name)
         self.quarantine = QuarantineController(board)
