--- a/packages/heathertack/src/heathertack/controllers/_overload.py
+++ b/packages/heathertack/src/heathertack/controllers/_overload.py
@@ -92,7 +92,7 @@
             queued_at,
             WaitingRequest(request, instance, deadline, now, losses),
             self._find_objective_deadline(request, now),
-            request.is_running,
+            request.is_running and self._tuning.controls_overload,
         )
 
     def take_refusal_counts(self) -> Counter[str]:
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -316,8 +316,10 @@
         weight = self._tuning.prefix_weight
 
         def rank(target: str) -> tuple[bool, float, str]:
-            is_far = request.is_running and self._crosses_domains(
-                request.excluded, target
+            is_far = (
+                request.is_running
+                and self._tuning.controls_overload
+                and self._crosses_domains(request.excluded, target)
             )
             saved = self._prefixes[target].saved_tokens(request.prefix)
             ledger = self._ledgers[target]
@@ -418,7 +420,11 @@
             return None
         penalty = tuning.run_weight * ledger.count
         if request.is_running and self._crosses_domains(request.excluded, target):
-            penalty += tuning.move_cross_domain_penalty
+            penalty += (
+                tuning.move_cross_domain_penalty
+                if tuning.controls_overload
+                else tuning.cross_domain_penalty
+            )
         return (peak - tuning.prefix_weight * saved) / capacity + penalty
 
     def has_slot(self, request: ReservationRequest, target: str) -> bool:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_moves.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_moves.py
@@ -21,7 +21,7 @@
 
 
 def build_group(domains: dict[str, str]) -> Group:
-    group = Group(engines=0)
+    group = Group(engines=0, controls_overload=True)
     capacities = {n: TargetCapacity(CAPACITY, 0, d) for n, d in domains.items()}
     group.group.set_targets(capacities)
     return group
--- a/packages/heathertack/src/heathertack/policy/_fair_queue.py
+++ b/packages/heathertack/src/heathertack/policy/_fair_queue.py
@@ -21,7 +21,8 @@
     item: Item
     #: Time until which the request can still meet its latency objective.
     objective_deadline: float = float("inf")
-    #: Whether the request already runs and waits for another target to move to.
+    #: Whether the request already runs, waits for another target to move to, and is
+    #: served first.
     is_running: bool = False
 
 
--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -34,8 +34,9 @@
     #: Added to the filled fraction of a cache if a KV cache would have to be copied
     #: across failure domains, which takes twice as long.
     cross_domain_penalty: float = 0.2
-    #: The same for a run that moves. It exceeds any difference in load: the runs of a
-    #: reclaimed target share its link, and those still waiting when it stops are lost.
+    #: The same for a run that moves, with control of overload. It exceeds any difference
+    #: in load: the runs of a reclaimed target share its link, and those still waiting
+    #: when it stops are lost.
     move_cross_domain_penalty: float = 2.0
     #: Number of prompt tokens that may wait for prefill on one target. A single prompt
     #: may exceed it.
@@ -67,7 +68,8 @@
     #: Window over which the rate of grants is measured, seconds.
     rate_window: float = 10.0
     #: Whether requests that can't start in time are refused before their wait is over,
-    #: and long requests leave room for brief ones.
+    #: long requests leave room for brief ones, and runs move before new requests start
+    #: and within their failure domain.
     controls_overload: bool = False
     #: Bounds of the retry delay that is sent with a refusal, seconds.
     retry_after_bounds: tuple[float, float] = (1.0, 60.0)
