--- a/packages/heathertack/src/heathertack/policy/_tuning.py
+++ b/packages/heathertack/src/heathertack/policy/_tuning.py
@@ -35,8 +35,8 @@
     #: across failure domains, which takes twice as long.
     cross_domain_penalty: float = 0.2
     #: The same for a run that moves, with control of overload. It exceeds any
-    #: difference in load: the runs of a reclaimed target share its link, and those still
-    #: waiting when it stops are lost.
+    #: difference in load: the runs of a reclaimed target share its link, and those
+    #: that still wait when it stops are lost.
     move_cross_domain_penalty: float = 2.0
     #: Number of prompt tokens that may wait for prefill on one target. A single prompt
     #: may exceed it.
