--- a/packages/heathertack-fakes/src/heathertack_fakes/tests/test_overload.py
+++ b/packages/heathertack-fakes/src/heathertack_fakes/tests/test_overload.py
@@ -89,7 +89,7 @@
             return now - queued.queued_at >= 6.0
 
         controlled = run()
-        monkeypatch.setattr(OverloadControl, "refuse_hopeless", lambda *_: ())
+        monkeypatch.setattr(OverloadControl, "refuse_unservable", lambda *_: ())
         monkeypatch.setattr(OverloadControl, "is_old", is_old)
         assert run() == controlled
         assert {outcome for _, _, outcome in controlled} <= {"served", "late", "lost"}
--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -396,7 +396,7 @@
                 break
         ordered = self._queue.ordered(now)
         backlog = [q for q in ordered if not self._may_pause(q, now)]
-        refusals = self._overload.refuse_hopeless(backlog, now)
+        refusals = self._overload.refuse_unservable(backlog, now)
         for refusal in refusals:
             self._queue.remove(refusal.reply.generation_id)
         self._waits.record_queue_length(len(backlog) - len(refusals), now)
--- a/packages/heathertack/src/heathertack/controllers/_overload.py
+++ b/packages/heathertack/src/heathertack/controllers/_overload.py
@@ -131,7 +131,7 @@
         """Record that a reservation ended."""
         self._starting.pop(generation_id, None)
 
-    def refuse_hopeless(
+    def refuse_unservable(
         self, queue: Iterable[QueuedItem[WaitingRequest]], now: float
     ) -> tuple[AddressedReply, ...]:
         """Return the refusals of the queued requests that can't start in time.
