--- a/packages/heathertack/src/heathertack/settings/_model.py
+++ b/packages/heathertack/src/heathertack/settings/_model.py
@@ -137,6 +137,8 @@
     #: Whether requests that can't start in time are refused at once, and room is kept
     #: for brief requests; false by default.
     overload_control: NotRequired[bool]
+    #: Whether requests are placed by the measured speeds of targets; false by default.
+    compare_speeds: NotRequired[bool]
 
 
 class Limits(NamedTuple):
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -265,7 +265,10 @@
         self.pauses = TargetPauseController(board)
         self.links = TargetLinkController(board, self.name, settings["failure_domain"])
         controls_overload = settings.get("overload_control", False)
-        tuning = tuning._replace(controls_overload=controls_overload)
+        tuning = tuning._replace(
+            controls_overload=controls_overload,
+            compares_speeds=settings.get("compare_speeds", False),
+        )
         self.admission = AdmissionController(board, self.name, tuning)
         self.placement = PlacementController(board, self.name)
         self.quarantine = QuarantineController(board)
