Show how late the event loop of an instance runs

Neither a log line nor a metric told whether a caller that left was noticed late, so that a late event loop, a close that was not passed on and a connection that is not read looked alike.

event_loop_late (at most once a second) and heathertack_event_loop_delay_seconds come from the periodic tick, so that they cost no work of their own; the line has the number of messages of other instances that were handled meanwhile. A request that ends as caller_left says how late the loop was, a relayed connection which side ended it.

--- a/packages/heathertackd/src/heathertackd/_bounded_server.py
+++ b/packages/heathertackd/src/heathertackd/_bounded_server.py
@@ -136,6 +136,11 @@
             bool(self._request_count) and not self._is_waiting
         )
 
+    @property
+    def is_reading_paused(self) -> bool:
+        """Whether the connection is not read, since its buffers are full."""
+        return bool(self._reading_paused or self._buffer_paused)
+
     @property
     def is_sending_rest(self) -> bool:
         """Whether an answer is complete of which the caller has yet to take a part."""
@@ -228,7 +233,7 @@
         held += self._request_bytes + max(self._answer_bytes, unsent)
         buffer_bytes = memory.buffer_bytes or 0
         kept_bytes = self._queued_bytes
-        if self._reading_paused or self._buffer_paused:
+        if self.is_reading_paused:
             kept_bytes = max(kept_bytes, buffer_bytes + _READ_BYTES)
         if self.writing_paused:
             # The target's side of a stream stops, too, with its buffers full.
--- a/packages/heathertackd/src/heathertackd/_instance.py
+++ b/packages/heathertackd/src/heathertackd/_instance.py
@@ -156,6 +156,7 @@
 from heathertackd._evacuation_log import EvacuationLog
 from heathertackd._explanations import ExplanationLog
 from heathertackd._logs import Logger
+from heathertackd._loop_delay import LoopDelay
 from heathertackd._metrics import Metrics
 from heathertackd._peers import PeerNetwork
 from heathertackd._push_log import PushLog
@@ -288,6 +289,9 @@
         self.network = PeerNetwork(
             settings, self.receive, self.metrics, logger, self.failures
         )
+        self.loop_delay = LoopDelay(
+            self.metrics, logger, lambda: self.network.received_count
+        )
         self.connections = TargetConnections(
             self.links,
             self.carry_out,
@@ -572,10 +576,12 @@
         is_control = self.control_log is not None
         pause = _CONTROL_TICK_SECONDS if is_control else _ENTRY_TICK_SECONDS
         while True:
+            self.loop_delay.record()
             self._tick_controllers()
             stuck = self._steps.find_stuck(_clock.monotonic())
             if stuck is not None:
                 raise StuckError(f"the step {stuck} keeps failing")
+            self.loop_delay.expect(_clock.monotonic() + pause)
             await asyncio.sleep(pause)
 
     def count_refusals(self) -> None:
--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -12,6 +12,7 @@
 _MAX_LABELLED_ACCOUNTS = 100
 _OTHER_ACCOUNTS_LABEL = "other"
 _LATENCY_BUCKETS = (0.01, 0.02, 0.035, 0.052, 0.08, 0.12, 0.2, 0.4, 0.64)
+_DELAY_BUCKETS = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 _WAIT_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 10.0, 30.0)
 
 
@@ -141,6 +142,12 @@
             "Connections that are forwarded for other instances",
             registry=self._registry,
         )
+        self.loop_delay = Histogram(
+            "heathertack_event_loop_delay_seconds",
+            "Time by which periodic work on the event loop ran late",
+            buckets=_DELAY_BUCKETS,
+            registry=self._registry,
+        )
         self.peer_messages = Counter(
             "heathertack_peer_messages",
             "Messages between instances",
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -159,6 +159,12 @@
         self._line_limit = LineLimit(_LOG_INTERVAL_SECONDS)
         self._limits = resolve_limits(settings)
         self._connection_limit: PeerConnectionLimit | None = None
+        self._received_count = 0
+
+    @property
+    def received_count(self) -> int:
+        """Number of messages that were received."""
+        return self._received_count
 
     @property
     def has_connection_limit(self) -> bool:
@@ -297,6 +303,7 @@
                 self._connection_limit.record_delivered(int(number))
             sender = self._identify(frames[0])
             parts = [frame.bytes for frame in frames[1:]]
+            self._received_count += 1
             self._metrics.peer_messages.labels("received").inc()
             self._metrics.peer_bytes.labels("received").inc(sum(map(len, parts)))
             try:
--- a/packages/heathertackd/src/heathertackd/_target_relay.py
+++ b/packages/heathertackd/src/heathertackd/_target_relay.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from contextlib import suppress
+from typing import NamedTuple
 
 from returns.result import Failure
 
@@ -46,6 +47,15 @@
 _REPLY_BYTES = {outcome: reply for reply, outcome in REPLIES.items()}
 
 
+class _Forwarded(NamedTuple):
+    """What became of a connection that was forwarded."""
+
+    #: Bytes that came back from the target.
+    byte_count: int
+    #: Whether the other instance ended the connection before the target did.
+    has_left: bool
+
+
 class _RelayHolder:
     """What a process holds for a connection of another instance to a target.
 
@@ -166,7 +176,7 @@
             address = await _read_request(reader)
             outcome, target = await self._connect(address)
             writer.write(_REPLY_BYTES[outcome])
-            forwarded = 0
+            forwarded = _Forwarded(0, has_left=False)
             if target is not None:
                 forwarded = await self._forward(reader, writer, target, holder)
             else:
@@ -236,8 +246,8 @@
         writer: asyncio.StreamWriter,
         target: socket.socket,
         holder: _RelayHolder,
-    ) -> int:
-        """Forward bytes until one side ends, and return how many came back."""
+    ) -> _Forwarded:
+        """Forward bytes until one side ends."""
         drain = self._instance.drain
         limit_buffers(target, self._memory.buffer_bytes)
         target_reader, target_writer = await asyncio.open_connection(
@@ -247,11 +257,13 @@
         self._instance.metrics.relaying_connections.set(self._count)
         drain.handle(RequestOpened(), _clock.monotonic())
         forwarded = 0
+        has_left = False
         holder.add_target(target_writer)
         up = asyncio.create_task(_copy(reader, target_writer, holder))
         down = asyncio.create_task(_copy_in_frames(target_reader, writer, holder))
         try:
             await asyncio.wait((up, down), return_when=asyncio.FIRST_COMPLETED)
+            has_left = up.done() and not down.done()
             if up.done() and up.exception() is not None and reader.exception() is None:
                 # The target reads no more, but may have answered.
                 await asyncio.wait((down,))
@@ -269,7 +281,7 @@
             self._count -= 1
             self._instance.metrics.relaying_connections.set(self._count)
             drain.handle(RequestClosed(), _clock.monotonic())
-        return forwarded
+        return _Forwarded(forwarded, has_left)
 
     def _is_listed(self, address: str) -> bool:
         return any(
@@ -294,7 +306,7 @@
         writer: asyncio.StreamWriter,
         address: str,
         outcome: RelayOutcome,
-        forwarded: int,
+        forwarded: _Forwarded,
         started_at: float,
     ) -> None:
         self._instance.metrics.relay_requests.labels(outcome.value).inc()
@@ -304,7 +316,8 @@
             peer=peer[0] if peer else "",
             address=address,
             outcome=outcome.value,
-            bytes=forwarded,
+            bytes=forwarded.byte_count,
+            has_left=forwarded.has_left,
             open_connections=self._count,
             seconds=round(_clock.monotonic() - started_at, 3),
         )
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -179,7 +179,9 @@
         except TimeoutError:
             return self._respond_timed_out()
         except asyncio.CancelledError:
-            self._finish("caller_left", ReservationOutcome.CANCELLED)
+            delay = self._instance.loop_delay.find(_clock.monotonic())
+            detail = f"the event loop is {delay:.3f} s late"
+            self._finish("caller_left", ReservationOutcome.CANCELLED, detail)
             raise
         except (ConnectionError, aiohttp.ClientError, ConnectionDroppedError) as error:
             self._finish("caller_lost", ReservationOutcome.CANCELLED, repr(error))
