--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -101,6 +101,10 @@
     def started(self, key: str, now: float = 0.0) -> None:
         self.group.record_progress(key, 1, now)
 
+    def report(self, key: str, tokens: int, now: float) -> None:
+        self.group.record_progress(key, tokens, now)
+        self.store(self.group.dispatch(now))
+
     def end(
         self,
         key: str,
@@ -581,3 +585,82 @@
     """Return a request whose generation needs a backup on a second engine."""
     size = {"max_tokens": 10, **values}
     return request(key, **size)._replace(needs_backup=True)
+
+
+class TestWorkOfTheOwner:
+    """Load pattern: more streams than the caches hold, and a message for each event.
+
+    An owner that has more to do than its processor bears reads late that callers have
+    left (GONE).
+    """
+
+    ENGINES = 45
+
+    def fill(self, streams: int, waiting: int) -> Group:
+        group = Group(self.ENGINES, 21_948, backup_load_limit=1.0)
+        for number in range(streams):
+            group.ask(request_with_backup(f"s{number}", prompt=3000, max_tokens=700))
+            group.started(f"s{number}")
+        for number in range(waiting):
+            group.ask(request(f"w{number}", prompt=21_000, max_tokens=900))
+        assert group.group.queue_length >= waiting
+        return group
+
+    def count_projections(
+        self, monkeypatch: pytest.MonkeyPatch, group: Group, event: Any, repeats: int
+    ) -> float:
+        """Return how many targets are compared with requests, for each event."""
+        projected = 0
+        project = TargetGroup._project_load
+
+        def count(*args: Any) -> Any:
+            nonlocal projected
+            projected += 1
+            return project(*args)
+
+        monkeypatch.setattr(TargetGroup, "_project_load", count)
+        for number in range(repeats):
+            event(group, number)
+        monkeypatch.undo()
+        return projected / repeats
+
+    # GONE: each event was compared with all targets for all requests that wait.
+    @pytest.mark.parametrize("waiting", [8, 40])
+    @pytest.mark.parametrize(
+        ("event", "max_targets"),
+        [
+            # Only the target whose stream ended has other room than before.
+            (lambda group, number: group.end(f"s{number}", 1.0), 1),
+            (lambda group, number: group.report(f"s{number}", 40, 1.0), 1),
+            # A report that changes nothing.
+            (lambda group, number: group.report("unknown", 40, 1.0), 0),
+        ],
+        ids=["end", "progress", "unchanged"],
+    )
+    def test_event_is_compared_with_the_targets_that_it_changes(
+        self,
+        waiting: int,
+        event: Any,
+        max_targets: int,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        group = self.fill(streams=150, waiting=waiting)
+        considered = TUNING.look_ahead + 1
+        # A target is compared once as it is, and once without its backups; backups that
+        # may stay are compared one by one.
+        each = 4
+        work = self.count_projections(monkeypatch, group, event, repeats=50)
+        assert work <= each * considered * max_targets
+
+    # GONE: a request that arrives was compared, and with it all that wait already.
+    def test_arrival_is_compared_for_itself(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group = self.fill(streams=150, waiting=6)
+        work = self.count_projections(
+            monkeypatch,
+            group,
+            lambda group, number: group.ask(request(f"n{number}", prompt=21_000), 1.0),
+            repeats=2,
+        )
+        assert work <= 2 * self.ENGINES
