Compare waiting requests only with targets that have changed

Callers saw: work went on for callers that had left, at the instance that owns admission, which had more to do than its processor bears.

Cause: after each event (a request, a first token, an end, each report of progress) the owner compared all waiting requests that it looks at with all targets of the group, with and without their backups, and each run that waits for a move with all transfers. 45 engines, 8 and 40 waiting requests: 720 and 810 comparisons an event, also for one that changes nothing; one more request: 675.

Each target numbers its changes now, and a request that fits nowhere is compared again with the targets that changed since; with all of them each 0.1 s, as rates, avoided targets and expected lengths change with time alone. Targets with a limit in time are compared each time, as before. Backups are listed by the ledger that keeps them. The others had no room and have none, so that the choice is the same.

TestWorkOfTheOwner (a count, no network): at most 36, 0 and 90 comparisons; it failed before.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from heathertack.controllers._admission_types import (
     AddressedReply,
@@ -42,6 +43,19 @@
 _WHOLE_RATE = RateUser("", 1.0, is_owner=True)
 #: A length is predicted again after it has grown by one part in this number.
 _REPREDICTION_GROWTH_DIVISOR = 6
+_BACKUP_SUFFIX = "/backup"
+#: Time after which queued requests are compared with all targets again, seconds: rates,
+#: avoided targets and expected lengths change with time alone.
+_COMPARISON_SECONDS = 0.1
+
+
+class _Comparison(NamedTuple):
+    """The last time that a queued request was compared with targets, in vain."""
+
+    #: Number of the latest change of the targets.
+    change: int
+    #: Whether some target could start the request, memory aside.
+    waits_for_memory: bool
 
 
 class AdmissionGroup:
@@ -76,6 +90,8 @@
         self._dispatch_from = now + tuning.takeover_delay
         self._queue: FairQueue[WaitingRequest] = FairQueue()
         self._targets = TargetGroup(tuning, now)
+        self._comparisons: dict[str, _Comparison] = {}
+        self._next_comparison_at = now
         self._held: dict[str, HeldReservation] = {}
         self._loads: dict[str, EngineLoad] = {}
         self._last_memory_wait_at = float("-inf")
@@ -195,7 +211,7 @@
                     request, instance, "quarantined", longest, reason
                 ),
             )
-        queued = self._queue.remove(request.generation_id)
+        queued = self._dequeue(request.generation_id)
         user = self._rate_user(instance)
         is_paused = request.preferred_target in self._pauses.find(instance, now)
         if not is_paused and self._targets.accepts(request.preferred_target, user, now):
@@ -227,7 +243,7 @@
     ) -> None:
         """Record a reservation that another owner granted."""
         request = announce.request
-        self._queue.remove(request.generation_id)
+        self._dequeue(request.generation_id)
         self._store_reservation(
             request,
             instance,
@@ -261,7 +277,7 @@
 
     def release(self, release: ReservationRelease, now: float) -> None:
         """Remove a reservation or a queued request."""
-        self._queue.remove(release.generation_id)
+        self._dequeue(release.generation_id)
         held = self._held.get(release.generation_id)
         if held is None or held.request.attempt != release.attempt:
             return
@@ -302,6 +318,7 @@
         if load.cache_capacity:
             ledger.capacity = load.cache_capacity
         ledger.record_reported_usage(load.cache_tokens, load.cache_capacity // 10)
+        self._targets.changes.record(target)
         if previous is not None and load.preemptions > previous.preemptions:
             self._quantile.raise_for(load.preemptions - previous.preemptions)
 
@@ -355,32 +372,32 @@
         for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
             if waiting.last_contact_at < limit or waiting.instance in gone:
-                self._queue.remove(queued.key)
+                self._dequeue(queued.key)
             elif now >= waiting.deadline:
-                self._queue.remove(queued.key)
+                self._dequeue(queued.key)
                 refusals.append(self._refuse_expired(waiting, now))
         self._queue.evict_idle_accounts()
         return (*refusals, *self.dispatch(now))
 
     def dispatch(self, now: float) -> tuple[AddressedReply, ...]:
-        """Place queued requests on targets with room."""
+        """Place queued requests on targets with room.
+
+        A request that fits on no target is compared again only with those targets that
+        have changed, and with all of them at regular intervals.
+        """
         if now < self._dispatch_from:
             return ()
+        if now >= self._next_comparison_at:
+            self._next_comparison_at = now + _COMPARISON_SECONDS
+            self._targets.changes.record_all()
         replies: list[AddressedReply] = []
         skipped = 0
-        backups: Mapping[str, tuple[str, ...]] | None = None
         for queued in tuple(self._queue.ordered(now)):
             waiting = queued.item
-            target = self._choose_target(waiting, now)
-            if target is None:
-                if backups is None:
-                    backups = self._list_backups()
-                dropped, target = self._evict_backups(waiting, backups, now)
-                replies.extend(dropped)
-                if dropped:
-                    backups = None
+            dropped, target = self._find_target(waiting, now)
+            replies.extend(dropped)
             if target is not None:
-                self._queue.remove(queued.key)
+                self._dequeue(queued.key)
                 self._overload.record_grant(queued, now)
                 replies.append(self._place(waiting, target, now))
                 continue
@@ -389,7 +406,7 @@
             if self._may_pause(queued, now):
                 # The targets that it may not use are free for other instances.
                 continue
-            if self._waits_for_memory(waiting, now):
+            if self._comparisons[queued.key].waits_for_memory:
                 self._last_memory_wait_at = now
             skipped += 1
             if self._overload.is_old(queued, now) or skipped > self._tuning.look_ahead:
@@ -398,11 +415,62 @@
         backlog = [q for q in ordered if not self._may_pause(q, now)]
         refusals = self._overload.refuse_unservable(backlog, now)
         for refusal in refusals:
-            self._queue.remove(refusal.reply.generation_id)
+            self._dequeue(refusal.reply.generation_id)
         self._waits.record_queue_length(len(backlog) - len(refusals), now)
         replies.extend(refusals)
         return tuple(replies)
 
+    def _dequeue(self, generation_id: str) -> QueuedItem[WaitingRequest] | None:
+        """Remove a queued request, and return it if there was one."""
+        self._comparisons.pop(generation_id, None)
+        return self._queue.remove(generation_id)
+
+    def _find_target(
+        self, waiting: WaitingRequest, now: float
+    ) -> tuple[tuple[AddressedReply, ...], str | None]:
+        """Return a target with room for a queued request.
+
+        Returns
+        -------
+        tuple
+            Messages to the entry instances whose backups are dropped for it, and the
+            target, ``None`` if there is none.
+        """
+        request = waiting.request
+        earlier = self._comparisons.get(request.generation_id)
+        changed = self._list_changed(request, earlier)
+        if changed is None or changed:
+            target = self._choose_target(waiting, now, changed)
+            if target is not None:
+                return (), target
+            dropped, target = self._evict_backups(waiting, changed, now)
+            if target is not None:
+                return dropped, target
+        if earlier is None or changed is None:
+            waits_for_memory = self._waits_for_memory(waiting, now)
+        else:
+            waits_for_memory = earlier.waits_for_memory
+        self._comparisons[request.generation_id] = _Comparison(
+            self._targets.changes.count, waits_for_memory
+        )
+        return (), None
+
+    def _list_changed(
+        self, request: ReservationRequest, earlier: _Comparison | None
+    ) -> frozenset[str] | None:
+        """Return the targets that may have room since a comparison, ``None`` for all.
+
+        A run that moves needs the link of the target that it leaves, too.
+        """
+        if earlier is None:
+            return None
+        changed = self._targets.changes.list_since(earlier.change)
+        if changed is None:
+            return None
+        if request.is_running and not changed.isdisjoint(request.excluded):
+            return None
+        return changed | self._targets.limited
+
     def _may_pause(self, queued: QueuedItem[WaitingRequest], now: float) -> bool:
         """Return whether a request may wait only because targets pause for it."""
         return bool(self._pauses.find(queued.item.instance, now))
@@ -443,8 +511,20 @@
             request, waiting.instance, "overloaded", wait, reason
         )
 
-    def _choose_target(self, waiting: WaitingRequest, now: float) -> str | None:
-        """Return the target with the lowest score, ``None`` if all are full."""
+    def _choose_target(
+        self, waiting: WaitingRequest, now: float, among: frozenset[str] | None
+    ) -> str | None:
+        """Return the target with the lowest score, ``None`` if all are full.
+
+        Parameters
+        ----------
+        waiting : WaitingRequest
+            A queued request.
+        now : float
+            Monotonic clock, seconds.
+        among : frozenset of str or None
+            Targets to choose from; ``None`` for all.
+        """
         request = waiting.request
         if waiting.losses and self._has_reservation(request.fingerprint):
             return None
@@ -453,7 +533,8 @@
         candidate = self._predict(request, 0)
         user = self._rate_user(waiting.instance)
         paused = self._pauses.find(waiting.instance, now)
-        for target in self._targets.order_candidates(request, user, now, paused):
+        candidates = self._targets.order_candidates(request, user, now, paused, among)
+        for target in candidates:
             score = self._targets.score(request, target, candidate, now)
             if score is None:
                 continue
@@ -464,25 +545,17 @@
                 break
         return best[1] if best is not None else None
 
-    def _list_backups(self) -> Mapping[str, tuple[str, ...]]:
-        """Return the generations whose backups each target keeps."""
-        by_target: dict[str, list[str]] = {}
-        for key, held in self._held.items():
-            if held.backup:
-                by_target.setdefault(held.backup, []).append(key)
-        return {target: tuple(keys) for target, keys in by_target.items()}
-
     def _evict_backups(
         self,
         waiting: WaitingRequest,
-        backups: Mapping[str, tuple[str, ...]],
+        among: frozenset[str] | None,
         now: float,
     ) -> tuple[tuple[AddressedReply, ...], str | None]:
         """Drop backups of running generations for a request that fits on no target.
 
         A backup is useful only if the target of its generation fails, whereas a
         queued request is delayed with certainty. Chooses the target on which the
-        fewest backups have to be dropped.
+        fewest backups have to be dropped, of all targets or among some.
 
         Returns
         -------
@@ -498,13 +571,8 @@
         candidate = self._predict(request, 0)
         user = self._rate_user(waiting.instance)
         paused = self._pauses.find(waiting.instance, now)
-        for target in self._targets.list_candidates(request, user, now, paused):
-            keys = backups.get(target, ())
-            if not keys:
-                continue
-            dropped = self._select_backups_to_drop(
-                request, target, candidate, keys, now
-            )
+        for target in self._targets.list_candidates(request, user, now, paused, among):
+            dropped = self._select_backups_to_drop(request, target, candidate, now)
             if dropped and (best is None or (len(dropped), target) < best[:2]):
                 best = (len(dropped), target, dropped)
         if best is None:
@@ -516,38 +584,33 @@
         request: ReservationRequest,
         target: str,
         candidate: LedgerEntry,
-        keys: tuple[str, ...],
         now: float,
     ) -> tuple[str, ...]:
         """Return the generations whose backups must be dropped for a request to fit."""
         ledger = self._targets.find_ledger(target)
         if ledger is None or not self._targets.has_slot(request, target):
             return ()
-        by_size = sorted(
-            ((ledger.cached_of(_backup_key(key)), key) for key in keys), reverse=True
+        entries = sorted(
+            ledger.backups,
+            key=lambda backup: (backup[1].cached, backup[0]),
+            reverse=True,
         )
-        entries = [
-            (key, entry)
-            for _, key in by_size
-            if (entry := ledger.find(_backup_key(key))) is not None
-        ]
         dropped = len(entries)
         try:
             for key, _ in entries:
-                ledger.release(_backup_key(key))
-            if not self._targets.fits(request, target, candidate, now):
+                ledger.release(key)
+            if not entries or not self._targets.fits(request, target, candidate, now):
                 return ()
             # Reserves the smallest ones again for as long as the request fits.
             while dropped > 1:
-                key, entry = entries[dropped - 1]
-                ledger.reserve_backup(_backup_key(key), entry)
+                ledger.reserve_backup(*entries[dropped - 1])
                 if not self._targets.fits(request, target, candidate, now):
                     break
                 dropped -= 1
-            return tuple(key for key, _ in entries[:dropped])
+            return tuple(_backup_owner(key) for key, _ in entries[:dropped])
         finally:
             for key, entry in entries:
-                ledger.reserve_backup(_backup_key(key), entry)
+                ledger.reserve_backup(key, entry)
 
     def _drop_backup(self, generation_id: str) -> AddressedReply:
         held = self._held[generation_id]
@@ -663,11 +726,13 @@
         )
         ledger = self._targets.find_ledger(target)
         if ledger is not None:
+            self._targets.changes.record(target)
             ledger.reserve(
                 key, entry, started=generated_tokens > 0 or request.is_running
             )
         backup_ledger = self._targets.find_ledger(backup)
         if backup_ledger is not None:
+            self._targets.changes.record(backup)
             backup_ledger.reserve_backup(_backup_key(key), entry)
 
     def _remove_reservation(self, generation_id: str) -> None:
@@ -678,12 +743,14 @@
             return
         ledger = self._targets.find_ledger(held.target)
         if ledger is not None:
+            self._targets.changes.record(held.target)
             ledger.release(generation_id)
         self._release_backup(held.backup, generation_id)
 
     def _release_backup(self, backup: str, generation_id: str) -> None:
         ledger = self._targets.find_ledger(backup)
         if ledger is not None:
+            self._targets.changes.record(backup)
             ledger.release(_backup_key(generation_id))
 
     def _charge(self, held: HeldReservation, generated_tokens: int) -> None:
@@ -702,4 +769,9 @@
 
 def _backup_key(generation_id: str) -> str:
     """Return the ledger key of the backup of a generation."""
-    return f"{generation_id}/backup"
+    return f"{generation_id}{_BACKUP_SUFFIX}"
+
+
+def _backup_owner(key: str) -> str:
+    """Return the generation whose backup has a ledger key."""
+    return key.removesuffix(_BACKUP_SUFFIX)
--- a/packages/heathertack/src/heathertack/controllers/_target_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_target_group.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from heathertack.controllers._admission_types import HeldReservation, TargetCapacity
+from heathertack.controllers._target_changes import TargetChanges
 from heathertack.messages import ReservationOutcome, ReservationRequest
 from heathertack.policy import (
     USUAL_SPEED,
@@ -54,6 +56,9 @@
         self._avoid_until: dict[str, float] = {}
         #: Endpoints of the KV cache transfers in progress, by generation.
         self._transfers: dict[str, frozenset[str]] = {}
+        #: Number of these transfers, by endpoint.
+        self._transfer_counts: Counter[str] = Counter()
+        self._changes = TargetChanges()
         self._rates = RequestRates()
         self._bounds = RejectionBounds(now)
         self._room = BriefRequestRoom()
@@ -67,8 +72,22 @@
         """Targets that accept new requests."""
         return self._usable
 
+    @property
+    def changes(self) -> TargetChanges:
+        """Changes of the room that targets have for requests.
+
+        Those that follow from time alone are not included.
+        """
+        return self._changes
+
+    @property
+    def limited(self) -> frozenset[str]:
+        """Targets that limit their requests in time."""
+        return frozenset(self._rates.limited | self._bounds.bounded)
+
     def set_capacities(self, capacities: Mapping[str, TargetCapacity]) -> None:
         """Set the targets that accept new requests, with their capacities."""
+        self._changes.record_all()
         self._usable = frozenset(capacities)
         self._positions = {name: i for i, name in enumerate(sorted(capacities))}
         for target, capacity in capacities.items():
@@ -92,9 +111,11 @@
     def set_versions(self, versions: Mapping[str, str | None]) -> None:
         """Set the software versions of all targets, ``None`` for unknown ones."""
         self._versions = versions
+        self._changes.record_all()
 
     def set_rates(self, rates: Mapping[str, float], now: float) -> None:
         """Set the rates of the targets that limit their requests, requests a second."""
+        self._changes.record_all()
         self._rates.set_rates(rates, now)
 
     def forget_rates(self) -> None:
@@ -115,6 +136,7 @@
         now : float
             Monotonic clock, seconds.
         """
+        self._changes.record_all()
         self._bounds.set_bounds(bounds, instances, now)
 
     def accepts(self, target: str, user: RateUser, now: float) -> bool:
@@ -259,6 +281,7 @@
 
     def avoid(self, target: str, until: float) -> None:
         """Prefer other targets until a point in time."""
+        self._changes.record_all()
         self._avoid_until[target] = until
 
     def avoid_after(self, outcome: ReservationOutcome, target: str, now: float) -> None:
@@ -268,11 +291,17 @@
 
     def begin_transfer(self, generation_id: str, endpoints: Iterable[str]) -> None:
         """Mark the links of both endpoints as busy with a KV cache transfer."""
+        self.end_transfer(generation_id)
         self._transfers[generation_id] = frozenset(endpoints)
+        self._transfer_counts.update(self._transfers[generation_id])
 
     def end_transfer(self, generation_id: str) -> None:
         """Mark the links used by a generation's transfer as free."""
-        self._transfers.pop(generation_id, None)
+        for endpoint in self._transfers.pop(generation_id, ()):
+            self._transfer_counts[endpoint] -= 1
+            if not self._transfer_counts[endpoint]:
+                del self._transfer_counts[endpoint]
+            self._changes.record(endpoint)
 
     def list_candidates(
         self,
@@ -280,26 +309,48 @@
         user: RateUser,
         now: float,
         paused: frozenset[str] = frozenset(),
+        among: frozenset[str] | None = None,
     ) -> tuple[str, ...]:
         """Return the targets that a request may go to.
 
         A running request moves with its KV cache, from the target that it excludes.
         Targets whose rate is used up are left to later requests, and paused ones to
         requests of other entry instances.
+
+        Parameters
+        ----------
+        request : ReservationRequest
+            Request that needs a target.
+        user : RateUser
+            Who sends the request.
+        now : float
+            Monotonic clock, seconds.
+        paused : frozenset of str
+            Targets that the entry instance may not use.
+        among : frozenset of str or None
+            Targets of which the suitable ones are returned; ``None`` for all.
         """
         accepting = self._usable - paused
-        usable = tuple(t for t in accepting if t not in request.excluded)
+        suitable = accepting.difference(request.excluded)
+        if not suitable and not request.is_running:
+            suitable = accepting
+        usable = suitable if among is None else suitable & among
         if request.is_running:
-            usable = tuple(
+            usable = frozenset(
                 target
                 for target in usable
                 if all(self._can_copy(source, target) for source in request.excluded)
             )
-        if not usable and not request.is_running:
-            usable = tuple(accepting)
-        usable = tuple(t for t in usable if self._allows(t, user, now))
-        preferred = tuple(t for t in usable if self._avoid_until.get(t, now) <= now)
-        return preferred or usable
+        allowed = tuple(t for t in usable if self._allows(t, user, now))
+        preferred = tuple(t for t in allowed if not self._is_avoided(t, now))
+        if preferred or among is None or not allowed:
+            return preferred or allowed
+        # Targets to avoid are used only if there are no others at all.
+        candidates = self.list_candidates(request, user, now, paused)
+        return tuple(t for t in allowed if t in candidates)
+
+    def _is_avoided(self, target: str, now: float) -> bool:
+        return self._avoid_until.get(target, now) > now
 
     def order_candidates(
         self,
@@ -307,6 +358,7 @@
         user: RateUser,
         now: float,
         paused: frozenset[str] = frozenset(),
+        among: frozenset[str] | None = None,
     ) -> list[str]:
         """Order targets by cache use, less the prefill that a cached prefix saves.
 
@@ -335,7 +387,8 @@
                 load = _scale(load + own, cost) - own
             return (is_far, load, target)
 
-        return sorted(self.list_candidates(request, user, now, paused), key=rank)
+        candidates = self.list_candidates(request, user, now, paused, among)
+        return sorted(candidates, key=rank)
 
     def score(
         self,
@@ -500,8 +553,7 @@
         Transfers over the same link queue behind each other, and a generation is
         paused while the rest of its KV cache waits for transfer.
         """
-        endpoints = frozenset((*request.excluded, target))
-        return any(endpoints & used for used in self._transfers.values())
+        return any(e in self._transfer_counts for e in (*request.excluded, target))
 
 
 def _scale(load: float, cost: float) -> float:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -610,6 +610,7 @@
         self, monkeypatch: pytest.MonkeyPatch, group: Group, event: Any, repeats: int
     ) -> float:
         """Return how many targets are compared with requests, for each event."""
+        group.store(group.group.dispatch(1.0))  # all were compared at this time
         projected = 0
         project = TargetGroup._project_load
 
--- a/packages/heathertack/src/heathertack/policy/_ledger.py
+++ b/packages/heathertack/src/heathertack/policy/_ledger.py
@@ -102,6 +102,11 @@
         """Generations with a reservation."""
         return tuple(self._entries)
 
+    @property
+    def backups(self) -> tuple[tuple[str, LedgerEntry], ...]:
+        """Backups of generations that run on other targets, with their keys."""
+        return tuple((key, self._entries[key]) for key in self._backup_keys)
+
     def describe(self) -> str:
         """Return a summary of the reservations, for logs and operators."""
         return f"{self.count} reserved, {self.cached}/{self.capacity} cached"
