Notice callers that leave while their connection is not read

Callers saw: work goes on for a caller that has left after it began to send the body of its next request behind the one that runs. Whether the users' callers do that is not known.

Cause: an event loop learns of a close by reading. The HTTP library stops to read once its buffer for a body is full, and reads again when the handler of that request takes it, which is after the answer to the one before it.

The kernel tells of a close without a read (EPOLLRDHUP), so that a connection is watched while it is not read. One epoll a server, open only while a connection is paused.

--- a/packages/heathertackd/src/heathertackd/_bounded_server.py
+++ b/packages/heathertackd/src/heathertackd/_bounded_server.py
@@ -13,6 +13,7 @@
 
 from heathertackd import _clock
 from heathertackd._caller_memory import CallerMemory
+from heathertackd._hangups import HangupWatcher
 from heathertackd._held_sizes import (
     TrailerCount,
     count_queued_bytes,
@@ -77,6 +78,7 @@
         manager: web.Server,
         memory: CallerMemory | None = None,
         errors: RequestErrorLog | None = None,
+        hangups: HangupWatcher | None = None,
         **options: Any,
     ) -> None:
         if memory is not None and memory.buffer_bytes is not None:
@@ -84,6 +86,9 @@
         super().__init__(manager, **options)
         self._memory = memory
         self._errors = errors
+        self._hangups = hangups or HangupWatcher()
+        #: Descriptor of the socket; ``None`` without a connection.
+        self._descriptor: int | None = None
         #: Bodies of the requests that were parsed and not answered, in order.
         self._payloads: deque[Any] = deque()
         #: Memory of the heads of these requests, bytes.
@@ -243,6 +248,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count a new connection."""
         super().connection_made(transport)
+        opened = transport.get_extra_info("socket")
+        self._descriptor = opened.fileno() if opened is not None else None
         if self._memory is None:
             return
         if self._memory.buffer_bytes is not None:
@@ -253,12 +260,40 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back what the connection held."""
+        self._forget_hangup()
+        self._descriptor = None
         super().connection_lost(exc)
         self._release()
         self._messages.clear()
         if self._memory is not None:
             self._memory.close(self)
 
+    def _pause_transport_reading(self) -> None:
+        """Stop to read, and watch for a caller that leaves meanwhile."""
+        super()._pause_transport_reading()
+        if self._descriptor is None:
+            return
+        try:
+            self._hangups.watch(self._descriptor, self._close_abandoned)
+        except OSError as error:
+            # The caller is noticed to have left once the connection is read again.
+            context = {"message": "a caller can't be watched", "exception": error}
+            self._loop.call_exception_handler(context)
+
+    def _resume_transport_reading(self) -> None:
+        """Read again, by which a close is noticed."""
+        self._forget_hangup()
+        super()._resume_transport_reading()
+
+    def _forget_hangup(self) -> None:
+        if self._descriptor is not None:
+            self._hangups.forget(self._descriptor)
+
+    def _close_abandoned(self) -> None:
+        """End the requests of a caller that has left, as if its close had been read."""
+        if self.transport is not None:
+            self.transport.close()
+
     def pause_writing(self) -> None:
         """Count the buffers of a caller that reads slowly."""
         super().pause_writing()
@@ -528,6 +563,7 @@
         super().__init__(handler, **options)
         self._memory = memory
         self._errors = errors
+        self._hangups = HangupWatcher()
 
     @property
     def connections(self) -> list[Any]:
@@ -537,7 +573,12 @@
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         return BoundedRequestHandler(
-            self, self._memory, self._errors, loop=self._loop, **self._kwargs
+            self,
+            self._memory,
+            self._errors,
+            self._hangups,
+            loop=self._loop,
+            **self._kwargs,
         )
 
 
