Let the event loop turn between events of connections of instances, too

Both use LoopTurns now.

test_receiving_turns.py, 1,000 events of 4, 20 and 100 ms: 4, 20 and 100 s without a turn before (0.18 s are allowed), at most 0.1 s now.

Looked at and left: loops over bodies of targets and relayed bytes await what the event loop has read, at most two buffers; a relay whose target does not read its request does not see its instance leave, but such a target is not at work.

--- a/packages/heathertackd/src/heathertackd/_peer_connections.py
+++ b/packages/heathertackd/src/heathertackd/_peer_connections.py
@@ -17,6 +17,7 @@
 import zmq.asyncio
 
 from heathertackd import _clock
+from heathertackd._loop_turns import LoopTurns
 from heathertackd._metrics import Metrics
 
 #: Minimum number of bytes of a greeting and the first command of the protocol.
@@ -194,8 +195,9 @@
         self._has_new.clear()
 
     async def _watch_connections(self) -> None:
+        turns = LoopTurns()
         while True:
-            frames = await self._monitor.recv_multipart()
+            frames = await turns.receive(self._monitor)
             event, number = struct.unpack(_EVENT_FORMAT, frames[0])
             if event == zmq.EVENT_ACCEPTED:
                 self._forget(number)
--- a/packages/heathertackd/src/heathertackd/_peers.py
+++ b/packages/heathertackd/src/heathertackd/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -22,6 +21,7 @@
 from heathertackd import _clock
 from heathertackd._line_limit import LineLimit
 from heathertackd._logs import Logger
+from heathertackd._loop_turns import LoopTurns
 from heathertackd._metrics import Metrics
 from heathertackd._peer_connections import PeerConnectionLimit
 from heathertackd._supervision import FailureLog
@@ -40,8 +40,6 @@
 _MAX_LOGGED_PEERS = 1000
 #: Interval at which unreadable messages are logged, seconds.
 _LOG_INTERVAL_SECONDS = 1.0
-#: Time for which messages are handled before anything else runs, seconds.
-_MAX_TURN_SECONDS = 0.01
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 MessageHandler = Callable[[str, PeerMessage], None]
@@ -294,22 +292,14 @@
         listener = self._listener
         if listener is None:
             raise PeerNetworkError("the listener is not open")
-        turn_ends_at = _clock.monotonic()
+        turns = LoopTurns()
         while True:
-            receiving = asyncio.ensure_future(listener.recv_multipart(copy=False))
-            has_arrived = receiving.done()
-            # Awaiting a message that has arrived does not return to the event loop.
-            if has_arrived and _clock.monotonic() >= turn_ends_at:
-                await asyncio.sleep(0)
-                turn_ends_at = _clock.monotonic() + _MAX_TURN_SECONDS
             try:
-                frames = await receiving
+                frames = await turns.receive(listener, copy=False)
             except zmq.Again:
                 # libzmq reports a message that it drops with its closed connection.
                 self._logger.info("peer_message_withdrawn")
                 continue
-            if not has_arrived:
-                turn_ends_at = _clock.monotonic() + _MAX_TURN_SECONDS
             if self._connection_limit is not None:
                 number = frames[0].get(zmq.SRCFD)
                 self._connection_limit.record_delivered(int(number))
