Compare a waiting request at once with targets whose pause is over

Requests behind it waited meanwhile, although another instance of the same build decides at once.

A comparison remembers the paused targets, and those that are no longer paused count as changed.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -54,6 +54,8 @@
 
     #: Number of the latest change of the targets.
     change: int
+    #: Targets that its entry instance could not use.
+    paused: frozenset[str]
     #: Whether some target could start the request, memory aside.
     waits_for_memory: bool
 
@@ -438,7 +440,8 @@
         """
         request = waiting.request
         earlier = self._comparisons.get(request.generation_id)
-        changed = self._list_changed(request, earlier)
+        paused = self._pauses.find(waiting.instance, now)
+        changed = self._list_changed(request, earlier, paused)
         if changed is None or changed:
             target = self._choose_target(waiting, now, changed)
             if target is not None:
@@ -451,12 +454,15 @@
         else:
             waits_for_memory = earlier.waits_for_memory
         self._comparisons[request.generation_id] = _Comparison(
-            self._targets.changes.count, waits_for_memory
+            self._targets.changes.count, paused, waits_for_memory
         )
         return (), None
 
     def _list_changed(
-        self, request: ReservationRequest, earlier: _Comparison | None
+        self,
+        request: ReservationRequest,
+        earlier: _Comparison | None,
+        paused: frozenset[str],
     ) -> frozenset[str] | None:
         """Return the targets that may have room since a comparison, ``None`` for all.
 
@@ -469,7 +475,7 @@
             return None
         if request.is_running and not changed.isdisjoint(request.excluded):
             return None
-        return changed | self._targets.limited
+        return changed | self._targets.limited | (earlier.paused - paused)
 
     def _may_pause(self, queued: QueuedItem[WaitingRequest], now: float) -> bool:
         """Return whether a request may wait only because targets pause for it."""
