--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,7 @@
 #: Time from the notice of a reclaimed engine to its end (scale_in spot), seconds.
 NOTICE = 2.0
 #: Time after the loss of the engine at which another one has room, seconds.
-ROOM_AFTER = 5.8
+ROOM_AFTER = 6.5
 
 
 def start_stream(system, answer):
