--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,6 +11,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness-2"))
 import harness  # noqa: E402
 
+for folder in ("target/deps", "packages/heathertack/src"):
+    sys.path.insert(0, str(harness.ROOT / folder))
+from heathertack.policy import choose_owner  # noqa: E402
+
 HOST = "ficu95.example"
 ENTRY = 4
 ENGINES = 12
@@ -117,4 +121,14 @@
     return int(is_broken)
 
 
-harness.main(play, machines=4, disks=3)
+def is_owned_by_entry(number):
+    """Return whether the machine with the stream assigns the engines, too.
+
+    Owners are chosen by a hash of the addresses, which are new each day. Were it the leader
+    that is killed, the next owner would not know that all engines are full.
+    """
+    names = [f"127.{number}.0.{machine}:{harness.PEER_PORTS[0]}" for machine in range(1, 5)]
+    return choose_owner("model:0", names) == names[ENTRY - 1]
+
+
+harness.main(play, machines=4, disks=3, accepts_network=is_owned_by_entry)
