--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -131,4 +132,10 @@
     return choose_owner("model:0", names) == names[ENTRY - 1]
 
 
-harness.main(play, machines=4, disks=3, accepts_network=is_owned_by_entry)
+harness.main(
+    play,
+    # Another file may be named, so that several runs don't write to the same one.
+    sys.argv[1] if len(sys.argv) > 1 else "record.txt",
+    has_trouble=os.environ.get("TROUBLE", "1") != "0",
+    machines=4, disks=3, accepts_network=is_owned_by_entry,
+)
--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -661,12 +661,11 @@
     }
 
 
-def main(run, seconds: float = 110.0, **options: object) -> None:
+def main(run, record_file: str, *, has_trouble: bool, seconds: float = 110.0,
+         **options: object) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    case = Path(sys.argv[1]).resolve()
-    record = Record(case / "record.txt")
+    record = Record(Path(record_file))
     folder = Path(tempfile.mkdtemp(prefix="review-"))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     system: System | None = None
 
     async def play() -> int:
