Show in the log what a continued stream is sent with

request_sent names the address of the copy that a run goes on from, and, like stream_continued, the target that holds it and what the table says of that target (unlisted: nothing). A send without a copy could not be told from one that goes on: both carry last_event_id.

--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -507,6 +507,9 @@
             parts=",".join(self._spec.identity.parts),
             last_event_id=self._stream.last_event_id,
             resumes=self._spec.head.resumed_request_id,
+            copy=_find_copy(self._targets(), continuation)[0],
+            keeper=continuation.target if continuation is not None else "",
+            keeper_state=self._describe_state(continuation),
         )
         self._timing.record_sent(_clock.monotonic())
         result = await self._client.send(target_request)
@@ -754,6 +757,13 @@
         record = self._targets().get(target)
         return record is None or record.state is TargetState.GONE
 
+    def _describe_state(self, continuation: Continuation | None) -> str:
+        """Return what the table says of the target that holds a copy."""
+        if continuation is None or not continuation.target:
+            return ""
+        record = self._targets().get(continuation.target)
+        return record.state.value if record is not None else "unlisted"
+
     def _record_continuation(
         self, broken: TargetChosen, continuation: Continuation
     ) -> None:
@@ -765,6 +775,7 @@
             lost=broken.target,
             at=continuation.target,
             last_event_id=self._stream.last_event_id,
+            keeper_state=self._describe_state(continuation),
         )
 
     def _can_repeat(self) -> bool:
