Bind a copy of a KV cache to its address, and end streams whose copy is lost

Cause: a continuation held the name of the target with the copy. Whether the stream may go on was decided before the wait, and the address was looked up when the request was built, after it; no such name meant "new run". The table of a new leader does not hold targets that stopped under the one before, so that "gone" and "never heard of" look alike.

Change: KvCacheCopy names target and address together and is built when the run is sent, with the backup that the engine is told of. Continuation(None) is a new run, and nothing else is: no lookup can turn one into the other. While a stream waits for a target, StreamMonitor ends the wait once its copy's target is gone, not listed or at another address (copy_lost, heathertack_lost_copies), and the decision is checked once more when it comes. What is left then is a new run, which has to pass the same checks as any other: kind, attempts, retry budget. Right before a send, a request that may have run, may not again and has no copy ends without it.

The same cause on related paths: a stream did not move off a target that leaves while the name of its backup's target belonged to another, live engine; a copy at a target that the table does not hold was never freed, and one whose name another engine had was asked for at that engine.

--- a/packages/heathertackd/src/heathertackd/_metrics.py
+++ b/packages/heathertackd/src/heathertackd/_metrics.py
@@ -120,6 +120,12 @@
             "Streams that were resumed on another connection",
             registry=self._registry,
         )
+        self.lost_copies = Counter(
+            "heathertack_lost_copies",
+            "Streams whose backup was lost while they waited for a target",
+            ("state",),
+            registry=self._registry,
+        )
         self.target_losses = Counter(
             "heathertack_target_losses",
             "Generations that lost their target",
--- a/packages/heathertackd/src/heathertackd/forwarding/_kv_cache.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_kv_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from returns.result import Result
@@ -47,18 +48,63 @@
         ...
 
 
-class Continuation(NamedTuple):
-    """Where an interrupted stream can continue."""
+class KvCacheCopy(NamedTuple):
+    """A copy of the KV cache of a run, from which the same run can continue.
 
-    #: Target that holds a copy of the KV cache, empty for a new run.
+    The address is part of the copy, so that it can't change while a stream waits: the
+    name of its target may later be unknown, or belong to another engine.
+    """
+
+    #: Target that holds the copy.
     target: str
-    #: Address of the engine that handed the run over, and the id of the copy; both
-    #: empty for the backup that a target has kept since the run started.
-    copy_address: str = ""
+    #: Address by which engines identify the copy: that of the engine that handed the
+    #: run over, or of the target that has kept the backup since the run started.
+    address: str
+    #: Id of a copy that was handed over, empty for a backup.
     copy_id: str = ""
+
+
+class Continuation(NamedTuple):
+    """Where an interrupted stream can continue."""
+
+    #: Copy that the run continues from; ``None`` for a new run.
+    copy: KvCacheCopy | None = None
     #: Placement that admission has already granted; ``None`` to request one.
     placement: TargetChosen | None = None
 
+    @property
+    def target(self) -> str:
+        """Target that holds the copy, empty for a new run."""
+        return self.copy.target if self.copy is not None else ""
+
+
+class CopyState(StrEnum):
+    """What is known of the target that keeps a backup."""
+
+    KEPT = "kept"
+    #: The target has stopped.
+    GONE = "gone"
+    #: The table of targets does not hold it, as after a change of leader.
+    UNLISTED = "unlisted"
+    #: Another engine has its name, or it was started again elsewhere.
+    REPLACED = "replaced"
+
+
+def find_copy_state(board: Blackboard, copy: KvCacheCopy) -> CopyState:
+    """Return whether the target of a backup can still hold it.
+
+    A target that is not listed counts as lost: the table of a new leader does not hold
+    the targets that stopped under the leader before.
+    """
+    record = board.read(TARGETS).get(copy.target)
+    if record is None:
+        return CopyState.UNLISTED
+    if record.state is TargetState.GONE:
+        return CopyState.GONE
+    if record.address != copy.address:
+        return CopyState.REPLACED
+    return CopyState.KEPT
+
 
 def must_move(board: Blackboard, placement: TargetChosen) -> bool:
     """Return whether a stream must move so as not to be lost with its target.
--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -45,7 +45,13 @@
 from heathertackd.forwarding._context import ForwardingContext
 from heathertackd.forwarding._dialect import ForwardAttempt
 from heathertackd.forwarding._event_splitter import EventSplitter, StreamEvent
-from heathertackd.forwarding._kv_cache import Continuation, must_move
+from heathertackd.forwarding._kv_cache import (
+    Continuation,
+    CopyState,
+    KvCacheCopy,
+    find_copy_state,
+    must_move,
+)
 from heathertackd.forwarding._request_spec import (
     RequestSpec,
     build_move_reservation,
@@ -143,6 +149,11 @@
         self._decision: asyncio.Future[TargetChosen | PlacementDenied] | None = None
         self._placement: TargetChosen | None = None
         self._has_placement = False
+        #: Backup that the target of the latest send was told of.
+        self._backup: KvCacheCopy | None = None
+        #: Backup that a stream waits to continue from, and the limit of its wait.
+        self._awaited_copy: KvCacheCopy | None = None
+        self._copy_wait = asyncio.timeout(None)
         self._error_response: web.Response | None = None
         #: Id by which admission identifies the current placement.
         self._placement_key = spec.key
@@ -216,6 +227,9 @@
             return
         if not self._mover.can_start(now):
             return
+        backup = self._backup
+        if backup is not None and self._has_lost(backup):
+            placement = placement._replace(backup="")
         if not must_move(self._instance.board, placement) or self._is_nearly_done():
             return
         if self._find_pause(placement.target):
@@ -228,7 +242,17 @@
             placement.target,
             now,
         )
-        self._mover.start(placement, reservation)
+        self._mover.start(placement, reservation, backup)
+
+    def end_wait_if_copy_is_lost(self) -> None:
+        """End the wait for a target if the copy to continue from is lost."""
+        copy = self._awaited_copy
+        if copy is not None and self._has_lost(copy):
+            self._awaited_copy = None
+            self._copy_wait.reschedule(asyncio.get_running_loop().time())
+
+    def _has_lost(self, copy: KvCacheCopy) -> bool:
+        return find_copy_state(self._instance.board, copy) is not CopyState.KEPT
 
     def _generated_tokens(self) -> int:
         return self._stream.count * self._spec.event_tokens
@@ -246,8 +270,9 @@
             return
         self._placement = placement._replace(backup="")
         self._log("copy_dropped", keeper=dropped.backup)
-        if self._mover is not None:
-            self._mover.discard_backup(dropped.backup)
+        backup, self._backup = self._backup, None
+        if self._mover is not None and backup is not None:
+            self._mover.discard_backup(backup)
 
     async def _serve(self) -> web.StreamResponse:
         continuation: Continuation | None = None
@@ -259,29 +284,83 @@
                 version=self._version.version,
                 reason=reason,
             )
+        broken = ""
         while True:
-            has_waited = await self._wait_for_copy(continuation)
-            if has_waited and self._is_moved_to_evacuated(continuation):
-                return self._abort_response("the target of the moved run is evacuated")
-            decision = await self._find_placement(continuation)
-            if isinstance(decision, PlacementDenied):
+            decision = await self._await_placement(continuation)
+            if decision is None:
+                # Only a new run is left, if the request may run again.
+                result: _Result = Continuation()
+            elif isinstance(decision, PlacementDenied):
                 return self._respond_denied(decision)
-            if self._find_pause(decision.target):
+            elif self._find_pause(decision.target):
                 self._release(ReservationOutcome.CANCELLED)
                 continue
-            result = await self._send_to_target(decision, continuation)
+            else:
+                broken = decision.target
+                result = await self._send_to_target(decision, continuation)
             if isinstance(result, web.StreamResponse):
                 return result
             if isinstance(result, Continuation):
                 continuation = result
-                if not await self._can_continue(decision, result):
+                if not await self._can_continue(broken, result):
                     return self._abort_response(
                         "the stream broke and can't be continued"
                     )
-                self._record_continuation(decision, result)
+                self._record_continuation(broken, result)
             elif not self._can_retry(result):
                 return self._respond_failed(result)
 
+    async def _await_placement(
+        self, continuation: Continuation | None
+    ) -> TargetChosen | PlacementDenied | None:
+        """Return a placement or a refusal, ``None`` if the copy is lost meanwhile."""
+        is_backup = continuation is not None and continuation.placement is None
+        copy = continuation.copy if continuation is not None and is_backup else None
+        if copy is None:
+            return await self._find_usable_placement(continuation)
+        started_at = _clock.monotonic()
+        self._awaited_copy = copy
+        self._copy_wait = asyncio.timeout(None)
+        self._context.stream_monitor.add(self)
+        decision: TargetChosen | PlacementDenied | None = None
+        try:
+            async with self._copy_wait:
+                decision = await self._find_usable_placement(continuation)
+        except TimeoutError:
+            if not self._copy_wait.expired():
+                raise
+        finally:
+            self._awaited_copy = None
+        state = find_copy_state(self._instance.board, copy)
+        if state is CopyState.KEPT and decision is not None:
+            return decision
+        self._release(ReservationOutcome.CANCELLED)
+        self._instance.metrics.lost_copies.labels(state.value).inc()
+        self._log(
+            "copy_lost",
+            keeper=copy.target,
+            address=copy.address,
+            state=state.value,
+            waited=round(_clock.monotonic() - started_at, 3),
+        )
+        return None
+
+    async def _find_usable_placement(
+        self, continuation: Continuation | None
+    ) -> TargetChosen | PlacementDenied:
+        """Return a placement, after a pause of the target that holds the copy."""
+        has_waited = await self._wait_for_copy(continuation)
+        if has_waited and self._is_moved_to_evacuated(continuation):
+            reason = "the target of the moved run is evacuated"
+            return PlacementDenied(
+                self._placement_key,
+                self._attempt,
+                "evacuated",
+                _RETRY_AFTER_SECONDS,
+                reason,
+            )
+        return await self._find_placement(continuation)
+
     async def _wait_for_copy(self, continuation: Continuation | None) -> bool:
         """Wait until the target that holds a copy of the KV cache wants requests.
 
@@ -496,9 +575,16 @@
             self._execution.end(SendOutcome.NOT_SENT)
             self._record_failure(placement, gone)
             return gone
-        target_request = self._build_request(record, placement, continuation)
-        has_copy = bool(_find_copy(self._targets(), continuation)[0])
-        self._execution.start(placement.target, continues_run=has_copy)
+        copy = continuation.copy if continuation is not None else None
+        if copy is None and not self._may_begin_run():
+            return self._abort_response("the request may have run, and may not again")
+        targets = self._targets()
+        backup = targets.get(placement.backup)
+        self._backup = (
+            KvCacheCopy(backup.name, backup.address) if backup is not None else None
+        )
+        target_request = self._build_request(record, self._backup, copy)
+        self._execution.start(placement.target, continues_run=copy is not None)
         self._log(
             "request_sent",
             target=placement.target,
@@ -507,9 +593,9 @@
             parts=",".join(self._spec.identity.parts),
             last_event_id=self._stream.last_event_id,
             resumes=self._spec.head.resumed_request_id,
-            copy=_find_copy(self._targets(), continuation)[0],
-            keeper=continuation.target if continuation is not None else "",
-            keeper_state=self._describe_state(continuation),
+            copy=copy.address if copy is not None else "",
+            keeper=copy.target if copy is not None else "",
+            keeper_state=self._describe_state(copy),
         )
         self._timing.record_sent(_clock.monotonic())
         result = await self._client.send(target_request)
@@ -531,23 +617,24 @@
     def _targets(self) -> Mapping[str, TargetRecord]:
         return self._instance.board.read(TARGETS)
 
+    def _may_begin_run(self) -> bool:
+        """Return whether the request may be sent to a target as a new run."""
+        return self._spec.can_run_again or not self._execution.may_have_run
+
     def _build_request(
         self,
         record: TargetRecord,
-        placement: TargetChosen,
-        continuation: Continuation | None,
+        backup: KvCacheCopy | None,
+        copy: KvCacheCopy | None,
     ) -> TargetRequest:
         spec = self._spec
-        targets = self._targets()
-        backup = targets.get(placement.backup)
-        copy_address, copy_id = _find_copy(targets, continuation)
         attempt = ForwardAttempt(
             target=record.name,
             account=spec.account,
             time_left=max(spec.deadline - _clock.monotonic(), _MIN_SEND_SECONDS),
             backup_address=backup.address if backup is not None else "",
-            copy_address=copy_address,
-            copy_id=copy_id,
+            copy_address=copy.address if copy is not None else "",
+            copy_id=copy.copy_id if copy is not None else "",
             last_event_id=self._stream.last_event_id,
         )
         return TargetRequest(
@@ -702,11 +789,11 @@
             if moved is not None:
                 return moved
         error = ExchangeError(ExchangeFailure.MAY_HAVE_RUN, detail)
-        backup = self._placement.backup if self._placement is not None else ""
-        if backup and not self._may_continue_at(backup):
-            backup = ""
+        backup = self._backup
+        if backup is not None and not self._may_continue_at(backup.target):
+            backup = None
         self._record_failure(placement, error)
-        if self._stream.count or backup:
+        if self._stream.count or backup is not None:
             return Continuation(backup)
         return error
 
@@ -715,10 +802,8 @@
         is_usable = not is_evacuated(self._instance.board, backup)
         return is_usable and self._version.accepts(backup)
 
-    async def _can_continue(
-        self, broken: TargetChosen, continuation: Continuation
-    ) -> bool:
-        """Return whether a stream can continue at another target."""
+    async def _can_continue(self, broken: str, continuation: Continuation) -> bool:
+        """Return whether a stream can continue after a target broke it off."""
         time_left = self._spec.deadline - _clock.monotonic()
         if self._find_pause(continuation.target) >= time_left:
             return False
@@ -726,12 +811,11 @@
             return True
         if self._break_count >= _MAX_STREAM_BREAKS:
             return False
-        if continuation.target:
-            backup = self._targets().get(continuation.target)
-            return backup is not None and backup.state is not TargetState.GONE
+        if continuation.copy is not None:
+            return not self._has_lost(continuation.copy)
         if self._spec.route["kind"] != "resumable":
             return False
-        if not await self._has_attempts_left(broken.target):
+        if not await self._has_attempts_left(broken):
             return False
         return self._retries.try_spend(self._spec.service)
 
@@ -757,25 +841,23 @@
         record = self._targets().get(target)
         return record is None or record.state is TargetState.GONE
 
-    def _describe_state(self, continuation: Continuation | None) -> str:
+    def _describe_state(self, copy: KvCacheCopy | None) -> str:
         """Return what the table says of the target that holds a copy."""
-        if continuation is None or not continuation.target:
+        if copy is None:
             return ""
-        record = self._targets().get(continuation.target)
-        return record.state.value if record is not None else "unlisted"
+        record = self._targets().get(copy.target)
+        return record.state.value if record is not None else CopyState.UNLISTED.value
 
-    def _record_continuation(
-        self, broken: TargetChosen, continuation: Continuation
-    ) -> None:
+    def _record_continuation(self, broken: str, continuation: Continuation) -> None:
         if continuation.placement is not None:
             return
         self._instance.metrics.resumes.inc()
         self._log(
             "stream_continued",
-            lost=broken.target,
+            lost=broken,
             at=continuation.target,
             last_event_id=self._stream.last_event_id,
-            keeper_state=self._describe_state(continuation),
+            keeper_state=self._describe_state(continuation.copy),
         )
 
     def _can_repeat(self) -> bool:
@@ -977,15 +1059,3 @@
             attempt=self._attempt,
             **fields,
         )
-
-
-def _find_copy(
-    targets: Mapping[str, TargetRecord], continuation: Continuation | None
-) -> tuple[str, str]:
-    """Return the address and the id of the KV cache copy to continue from."""
-    if continuation is None:
-        return "", ""
-    if continuation.copy_id:
-        return continuation.copy_address, continuation.copy_id
-    backup = targets.get(continuation.target)
-    return (backup.address if backup is not None else ""), ""
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_monitor.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_monitor.py
@@ -1,4 +1,4 @@
-"""Moves open streams off targets that are about to be lost."""
+"""Watches open streams for the loss of targets that they depend on."""
 
 from __future__ import annotations
 
@@ -13,12 +13,16 @@
 
 
 class MonitoredStream(Protocol):
-    """A stream that may have to move to another target."""
+    """A stream that may have to move to another target, or waits for one."""
 
     def move_if_at_risk(self) -> None:
         """Start a move if the stream would be lost with its target."""
         ...
 
+    def end_wait_if_copy_is_lost(self) -> None:
+        """End the wait for a target if the copy to continue from is lost."""
+        ...
+
 
 class StreamMonitor:
     """Periodically checks every open stream for the need to move.
@@ -47,6 +51,7 @@
             for stream in tuple(self._streams):
                 try:
                     stream.move_if_at_risk()
+                    stream.end_wait_if_copy_is_lost()
                 except Exception as error:
                     self._failures.record("stream_move", error)
             await asyncio.sleep(_CHECK_INTERVAL_SECONDS)
--- a/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_stream_mover.py
@@ -22,12 +22,18 @@
 from heathertack.messages import (
     ReservationOutcome,
     ReservationRequest,
-    TargetState,
 )
 from heathertackd import _clock
 from heathertackd._background_tasks import start_background_task
 from heathertackd._instance import Instance
-from heathertackd.forwarding._kv_cache import Continuation, KvCacheMover, MoveFailure
+from heathertackd.forwarding._kv_cache import (
+    Continuation,
+    CopyState,
+    KvCacheCopy,
+    KvCacheMover,
+    MoveFailure,
+    find_copy_state,
+)
 
 #: Delay before a failed move is retried, seconds.
 _RETRY_SECONDS = 0.5
@@ -87,12 +93,27 @@
         """Return whether a move may be started now."""
         return not self.is_busy and now >= self._next_start_at
 
-    def start(self, placement: TargetChosen, reservation: ReservationRequest) -> None:
-        """Start moving a run to the placement that a reservation requests."""
+    def start(
+        self,
+        placement: TargetChosen,
+        reservation: ReservationRequest,
+        backup: KvCacheCopy | None,
+    ) -> None:
+        """Start moving a run to the placement that a reservation requests.
+
+        Parameters
+        ----------
+        placement : TargetChosen
+            Placement of the run.
+        reservation : ReservationRequest
+            Reservation at the destination.
+        backup : KvCacheCopy or None
+            Backup of the run, which is freed once the run has been handed over.
+        """
         self._next_start_at = _clock.monotonic() + _RETRY_SECONDS
         self._is_handing_over = False
         self._task = start_background_task(
-            self._move(placement, reservation), self._instance.logger
+            self._move(placement, reservation, backup), self._instance.logger
         )
 
     def cancel(self) -> None:
@@ -121,14 +142,17 @@
     def handle_copy_dropped(self, dropped: CopyDropped) -> None:
         """Do nothing: an unused placement has no backup yet."""
 
-    def discard_backup(self, backup: str) -> None:
+    def discard_backup(self, backup: KvCacheCopy) -> None:
         """Free the backup of the run that a target keeps."""
         task = start_background_task(self._discard(backup), self._instance.logger)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
     async def _move(
-        self, old: TargetChosen, reservation: ReservationRequest
+        self,
+        old: TargetChosen,
+        reservation: ReservationRequest,
+        backup: KvCacheCopy | None,
     ) -> Continuation | None:
         key = reservation.generation_id
         self._instance.add_placement_listener(key, self)
@@ -158,10 +182,12 @@
             handed_over = await self._transfer(old.target, decision)
             if handed_over is None:
                 return None
-            if find_pause(self._instance.board, old.backup, _clock.monotonic()):
-                self.discard_backup(old.backup)
+            if backup is None:
+                return handed_over
+            if find_pause(self._instance.board, backup.target, _clock.monotonic()):
+                self.discard_backup(backup)
             else:
-                await self._discard(old.backup)
+                await self._discard(backup)
             return handed_over
         finally:
             self._instance.remove_placement_listener(key)
@@ -207,9 +233,8 @@
             self._record_failure(placement, source, hand_over_result.failure())
             return None
         self._log("stream_moved", source=source, to=placement.target)
-        return Continuation(
-            placement.target, origin.address, hand_over_result.unwrap(), placement
-        )
+        copy = KvCacheCopy(placement.target, origin.address, hand_over_result.unwrap())
+        return Continuation(copy, placement)
 
     def _rejects_destination(self, source: str, destination: str) -> bool:
         """Return whether a move must not go to its destination, which leaves.
@@ -255,17 +280,19 @@
     def _keeps_running(self, target: str) -> bool:
         return keeps_running(self._instance.board, target)
 
-    async def _discard(self, name: str) -> None:
-        while pause := find_pause(self._instance.board, name, _clock.monotonic()):
+    async def _discard(self, backup: KvCacheCopy) -> None:
+        board = self._instance.board
+        while pause := find_pause(board, backup.target, _clock.monotonic()):
             if pause > _MAX_DISCARD_WAIT_SECONDS:
                 return
             await asyncio.sleep(pause)
-        target = self._instance.board.read(TARGETS).get(name)
-        if target is None or target.state is TargetState.GONE:
+        # An unlisted target may still run, and would keep the copy.
+        state = find_copy_state(board, backup)
+        if state in (CopyState.GONE, CopyState.REPLACED):
             return
-        result = await self._mover.discard(target.address, self._request_id)
+        result = await self._mover.discard(backup.address, self._request_id)
         if isinstance(result, Failure):
-            self._log("copy_not_freed", target=target.name, detail=result.failure())
+            self._log("copy_not_freed", target=backup.target, detail=result.failure())
 
     def _release(self, key: str) -> None:
         ended = PlacementEnded(key, self._outcome)
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/forwarding_system.py
@@ -230,6 +230,10 @@
         """Mark a target as leaving, as the platform's list of targets would."""
         self._change_target(target, state=TargetState.LEAVING)
 
+    def mark_gone(self, target: str) -> None:
+        """Mark a target as gone, as the platform's list of targets would."""
+        self._change_target(target, state=TargetState.GONE)
+
     def set_address(self, target: str, address: str) -> None:
         """Give a target another address."""
         self._change_target(target, address=address)
--- a/packages/heathertackd/src/heathertackd/tests/test_supervision.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_supervision.py
@@ -233,6 +233,9 @@
         if self.error is not None:
             raise self.error
 
+    def end_wait_if_copy_is_lost(self) -> None:
+        """Do nothing: the stream does not wait."""
+
 
 class TestIsolatedSteps:
     # Guards against one stream that keeps all others from being moved in time.
