Count attempts at targets that the table does not hold until they refuse

An engine that ended does not count, and one that the table did not hold counted as ended, also where the table of a new leader does not hold it yet and it runs.

Now only the table's word "gone", or a connection that is not accepted, ends an attempt. The session keeps the address of each target that it sent the request to, so that it can ask the broken target and those that are not listed, all at the same time.

Evidence: TestAttempts, one of its 2 tests fails before ([1, 1] requests at the two targets with max_attempts 1, now [1, 0]); the other one holds that a target that has stopped does not count.

--- a/packages/heathertackd/src/heathertackd/forwarding/_session.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/_session.py
@@ -154,6 +154,8 @@
         #: Backup that a stream waits to continue from, and the limit of its wait.
         self._awaited_copy: KvCacheCopy | None = None
         self._copy_wait = asyncio.timeout(None)
+        #: Addresses of the targets that the request was sent to, by name.
+        self._addresses: dict[str, str] = {}
         self._error_response: web.Response | None = None
         #: Id by which admission identifies the current placement.
         self._placement_key = spec.key
@@ -584,6 +586,7 @@
             KvCacheCopy(backup.name, backup.address) if backup is not None else None
         )
         target_request = self._build_request(record, self._backup, copy)
+        self._addresses[record.name] = record.address
         self._execution.start(placement.target, continues_run=copy is not None)
         self._log(
             "request_sent",
@@ -822,24 +825,35 @@
     async def _has_attempts_left(self, broken: str) -> bool:
         """Return whether a new run may begin after a target broke a stream off.
 
-        The attempt at a target that has ended does not count.
+        Attempts at targets that have ended do not count. The table tells of those that
+        are gone; the broken target, and those that the table does not hold, have ended
+        if they accept no connections.
         """
         max_attempts = self._spec.route["max_attempts"]
-        if self._execution.count_attempts(self._has_ended) < max_attempts:
+        if self._execution.count_attempts(self._is_gone) < max_attempts:
             return True
-        record = self._targets().get(broken)
-        if record is None:
-            return False
-        if await self._client.probe(record.address) is Reachability.ACCEPTS:
-            return False
-        ended = self._execution.count_attempts(
-            lambda target: target == broken or self._has_ended(target)
+        targets = self._targets()
+        uncertain = [
+            target
+            for target in self._addresses
+            if target == broken or target not in targets
+        ]
+        found = await asyncio.gather(
+            *(self._client.probe(self._addresses[target]) for target in uncertain)
+        )
+        ended = {
+            target
+            for target, reachability in zip(uncertain, found, strict=True)
+            if reachability is not Reachability.ACCEPTS
+        }
+        attempts = self._execution.count_attempts(
+            lambda target: target in ended or self._is_gone(target)
         )
-        return ended < max_attempts
+        return attempts < max_attempts
 
-    def _has_ended(self, target: str) -> bool:
+    def _is_gone(self, target: str) -> bool:
         record = self._targets().get(target)
-        return record is None or record.state is TargetState.GONE
+        return record is not None and record.state is TargetState.GONE
 
     def _describe_state(self, copy: KvCacheCopy | None) -> str:
         """Return what the table says of the target that holds a copy."""
--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_lost_copies.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_lost_copies.py
@@ -167,6 +167,37 @@
             assert system.dialect.attempts[1].copy_address == system.addresses[1]
 
 
+class TestAttempts:
+    # Guards against a request that runs at more targets than its route allows, since a
+    # target that the table does not hold counts as ended.
+    @pytest.mark.parametrize(
+        ("is_stopped", "counts"), [(False, [1, 0]), (True, [1, 1])]
+    )
+    async def test_unlisted_target_counts_until_it_accepts_no_connections(
+        self, is_stopped: bool, counts: list[int]
+    ) -> None:
+        async def script(received: Received, writer: asyncio.StreamWriter) -> None:
+            if "Last-Event-Id" in received.headers:
+                await stream(3, 4)(received, writer)
+                return
+            await stream(1, 2, breaks=True)(received, writer)
+            await asyncio.sleep(0.1)
+            elect_leader(system, "t0")
+            if is_stopped:
+                system.targets[0].stop()
+
+        bundle_route = route("resumable", max_attempts=1)
+        async with run_system(bundle_route, script, script) as system:
+            StubbornOwner(system, ("t0", ""), ("t1", ""))
+            try:
+                async with system.request() as got:
+                    body = await got.read()
+                    assert ids(body) == [1, 2, 3, 4]
+            except aiohttp.ClientPayloadError:
+                assert not is_stopped
+            assert [len(target.received) for target in system.targets] == counts
+
+
 class TestMoves:
     # Guards against a stream that is lost with its target, since the name of its
     # backup's target belongs to another engine, which is live.
