Resume and cancel a generation where its attempt was opened

The session now keeps the address at which it opened each attempt. An attempt at a target that is not listed is not opened, and nothing is asked of an address that no target has.

--- a/packages/heathertackd/src/heathertackd/_generation_session.py
+++ b/packages/heathertackd/src/heathertackd/_generation_session.py
@@ -115,6 +115,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_deadline = 0.0
         self._links: dict[int, asyncio.Task[None]] = {}
+        #: Addresses at which attempts were opened, by target: the table may no longer
+        #: hold a target while it runs one.
+        self._addresses: dict[str, str] = {}
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._stream = CallerStream(
             http_request,
@@ -266,7 +269,12 @@
         if action.link == 1:
             wait = _clock.monotonic() - self._spec.received_at
             self._instance.metrics.queue_wait.labels(*self._labels).observe(wait)
-        address = self._find_address(action.target)
+        record = self._instance.board.read(TARGETS).get(action.target)
+        if record is None:
+            detail = f"{action.target} is not listed"
+            self._refuse_link(action.link, LinkFailure.UNREACHABLE, detail)
+            return
+        self._addresses[action.target] = record.address
         body = {
             **self._spec.request.body,
             "id": action.attempt_id,
@@ -275,7 +283,7 @@
             "priority": self._spec.reservation.priority,
         }
         pending_response = self._engines.open_stream(
-            address, self._spec.request.path, body
+            record.address, self._spec.request.path, body
         )
         self._links[action.link] = asyncio.create_task(
             self._read_link(action.link, pending_response)
@@ -283,13 +291,19 @@
 
     def _resume_link(self, action: ResumeStream) -> None:
         if self._is_evacuated(action.target):
-            self._refuse_link(action.link, action.target)
+            # A target that lost the generation is not asked again, either.
+            detail = f"{action.target} is evacuated"
+            self._refuse_link(action.link, LinkFailure.UNKNOWN_GENERATION, detail)
+            return
+        address = self._addresses.get(action.target)
+        if address is None:
+            detail = f"no attempt was opened at {action.target}"
+            self._refuse_link(action.link, LinkFailure.UNREACHABLE, detail)
             return
         self._instance.metrics.resumes.inc()
         self._instance.explanations.add(
             self._id, "resumed", f"{action.target} from {action.offset}"
         )
-        address = self._find_address(action.target)
         pending_response = self._engines.resume_stream(
             address, action.attempt_id, action.offset
         )
@@ -300,16 +314,11 @@
     def _is_evacuated(self, target: str) -> bool:
         return is_evacuated(self._instance.board, target)
 
-    def _refuse_link(self, link: int, target: str) -> None:
-        """Treat a target that must get no requests as one that lost the generation."""
-        detail = f"{target} is evacuated"
-        closed = LinkClosed(link, LinkFailure.UNKNOWN_GENERATION, detail)
+    def _refuse_link(self, link: int, failure: LinkFailure, detail: str) -> None:
+        """Close a link that must not be opened."""
+        closed = LinkClosed(link, failure, detail)
         self._spawn(self._events.put((closed,)))
 
-    def _find_address(self, target: str) -> str:
-        record = self._instance.board.read(TARGETS).get(target)
-        return record.address if record is not None else "0.0.0.0:0"
-
     async def _read_link(self, link: int, pending_response: Any) -> None:
         """Convert what happens on a link into controller events."""
         match await pending_response:
@@ -343,8 +352,9 @@
             task.cancel()
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
-        address = self._find_address(action.target)
-        self._spawn(self._engines.cancel(address, action.attempt_id))
+        address = self._addresses.get(action.target)
+        if address is not None:
+            self._spawn(self._engines.cancel(address, action.attempt_id))
 
     async def _deliver(self, text: str) -> None:
         now = _clock.monotonic()
