Retry calls only at targets that the table still holds

A target is left out now unless the table holds it, not gone, at the address it had. Nothing was sent to it, so that the refusal's "not run" stays true.

Evidence: TestCalls in test_unlisted_targets.py, 3 of its 4 cases fail before (sent to an unlisted, a gone and a replaced target) and pass now. test_claims.py names its target without the table; it now enters it there, too, and its checks are as before.

--- a/packages/heathertackd/src/heathertackd/_call_session.py
+++ b/packages/heathertackd/src/heathertackd/_call_session.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from returns.result import Failure
 
-from heathertack.blackboard import LEASE, Blackboard
+from heathertack.blackboard import LEASE, TARGETS, Blackboard
 from heathertack.controllers import (
     CallController,
     CallEvent,
@@ -32,7 +32,7 @@
     find_usable_targets,
     is_evacuated,
 )
-from heathertack.messages import TargetRecord
+from heathertack.messages import TargetRecord, TargetState
 from heathertack.policy import RetryBudget
 from heathertack.state import (
     CallOutcome,
@@ -138,8 +138,8 @@
 class _TargetRotation:
     """Iterates over the targets of a call, using each of them once.
 
-    A call may wait for its claim, and for answers, while a domain is evacuated or a
-    target becomes cold.
+    A call may wait for its claim, and for answers, while a target stops or becomes
+    cold, or a domain is evacuated.
     """
 
     def __init__(
@@ -165,10 +165,21 @@
         return [
             target
             for target in self._targets
-            if not is_evacuated(self._board, target.name)
+            if self._is_listed(target)
+            and not is_evacuated(self._board, target.name)
             and self._shares.accepts(target.name, now)
         ]
 
+    def _is_listed(self, target: TargetRecord) -> bool:
+        """Return whether the table still holds a target at its address.
+
+        Another service may use the address of a target that is gone.
+        """
+        record = self._board.read(TARGETS).get(target.name)
+        if record is None or record.state is TargetState.GONE:
+            return False
+        return record.address == target.address
+
     def take(self) -> TargetRecord | None:
         """Return the next target, ``None`` if all were used."""
         self._targets = self._remaining
--- a/packages/heathertackd/src/heathertackd/tests/test_claims.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_claims.py
@@ -7,7 +7,7 @@
 import pytest
 from returns.result import Result, Success
 
-from heathertack.blackboard import LEASE, Blackboard, LeaseView
+from heathertack.blackboard import LEASE, TARGETS, Blackboard, LeaseView
 from heathertack.messages import TargetRecord
 from heathertack.state import (
     CallFound,
@@ -116,6 +116,8 @@
         monkeypatch.setattr(instance.control, "commit", log.commit)
         target = CountingTarget()
         record = await target.start()
+        targets = {record.name: record}
+        instance.board.write(instance.lease_holder, TARGETS, targets)
         monkeypatch.setattr(
             "heathertackd._call_session.find_usable_targets",
             lambda board, service, now: (record,),
--- a/packages/heathertackd/src/heathertackd/tests/test_unlisted_targets.py
+++ b/packages/heathertackd/src/heathertackd/tests/test_unlisted_targets.py
@@ -1,8 +1,10 @@
-"""Generations at a target that the table of a new leader does not hold."""
+"""Generations and calls whose target is no longer in the table of targets."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
+import pytest
 from returns.result import Failure, Result
 
 from heathertack.blackboard import TARGETS
@@ -12,13 +14,18 @@
     LinkFailure,
     OpenStream,
     ResumeStream,
+    TargetResponded,
+    TargetUnreachable,
 )
 from heathertack.controllers.tests.test_admission import request
+from heathertack.messages import TargetRecord, TargetState
+from heathertack.state import CallOutcome
 from heathertackd import Instance
+from heathertackd._call_session import CallRunner
 from heathertackd._engine_client import LinkError
 from heathertackd._generation_session import GenerationSession, GenerationSpec
 from heathertackd._wire import CompletionRequest
-from heathertackd.tests.test_evacuated_targets import build_instance
+from heathertackd.tests.test_evacuated_targets import SPEC, build_instance
 
 
 class RecordingEngines:
@@ -97,3 +104,53 @@
         assert closed.failure is LinkFailure.UNREACHABLE
         await session._execute((CancelAttempt("t0", "g.1"),))
         assert engines.asked == []
+
+
+class FailingClient:
+    """Records the targets of calls; the table changes while the first one fails."""
+
+    def __init__(self, instance: Instance, changes: Mapping[str, Any] | None) -> None:
+        self._instance = instance
+        self._changes = changes
+        self.targets: list[str] = []
+
+    async def send(self, target: TargetRecord, spec: Any) -> Any:
+        del spec
+        self.targets.append(target.name)
+        if len(self.targets) > 1:
+            return TargetResponded(CallOutcome(200, "", b"ok"))
+        board = self._instance.board
+        known = board.read(TARGETS)
+        records = {target.name: known[target.name]}
+        if self._changes is not None:
+            records.update(
+                {
+                    name: record._replace(**self._changes)
+                    for name, record in known.items()
+                    if name != target.name
+                }
+            )
+        board.write(self._instance.lease_holder, TARGETS, records)
+        return TargetUnreachable(has_alternative=False)
+
+
+class TestCalls:
+    # Guards against a call that is sent to an address that another service has now.
+    @pytest.mark.parametrize(
+        ("changes", "status"),
+        [
+            pytest.param({}, 200, id="listed as before"),
+            pytest.param(None, 503, id="unlisted"),
+            pytest.param({"state": TargetState.GONE}, 503, id="gone"),
+            pytest.param({"address": "t9:1"}, 503, id="replaced"),
+        ],
+    )
+    async def test_call_is_only_retried_at_a_target_that_is_still_listed(
+        self, changes: Mapping[str, Any] | None, status: int
+    ) -> None:
+        instance = build_instance()
+        client = FailingClient(instance, changes)
+        runner = CallRunner(instance, client)  # type: ignore[arg-type]
+        response = await runner.run_idempotent(SPEC)
+        assert response.status == status
+        assert len(client.targets) == (2 if status == 200 else 1)
