Keep the places of runs at a target that is listed again

What callers could see: more requests at an engine than its memory holds, so preemptions, for up to a second after a change of leader. Runs that an instance announced, or that went on, while the table did not hold their target had no entry in its ledger; it was empty when the target was listed, until each of them reported progress.

Reservations at a target that gets a new ledger are entered when it gets it.

Evidence: test_runs_keep_their_places_at_a_target_that_is_listed_again (no network), 2 of 2 fail before (the request is placed beside the run; no backup is dropped for it) and pass now.

--- a/packages/heathertack/src/heathertack/controllers/_admission_group.py
+++ b/packages/heathertack/src/heathertack/controllers/_admission_group.py
@@ -141,8 +141,17 @@
         return self._overload.take_refusal_counts()
 
     def set_targets(self, capacities: Mapping[str, TargetCapacity]) -> None:
-        """Set the targets that accept new requests, with their capacities."""
+        """Set the targets that accept new requests, with their capacities.
+
+        Runs at a target that is listed again take their places there at once.
+        """
+        added = {t for t in capacities if self._targets.find_ledger(t) is None}
         self._targets.set_capacities(capacities)
+        if not added:
+            return
+        for generation_id, held in self._held.items():
+            if not added.isdisjoint((held.target, held.backup)):
+                self._reserve(generation_id, held)
 
     def set_versions(self, versions: Mapping[str, str | None]) -> None:
         """Set the software versions of all targets, ``None`` for unknown ones."""
@@ -724,21 +733,26 @@
                 generated_tokens + generated_tokens // _REPREDICTION_GROWTH_DIVISOR + 1,
                 length,
             )
-        self._held[key] = HeldReservation(
+        held = HeldReservation(
             request, instance, target, generated_tokens, now, length, until, backup
         )
+        self._held[key] = held
+        self._reserve(key, held)
+
+    def _reserve(self, key: str, held: HeldReservation) -> None:
+        """Enter a reservation in the ledgers of its target and of its backup."""
+        generated = held.generated_tokens
         entry = LedgerEntry(
-            request.prompt_tokens + generated_tokens, max(length - generated_tokens, 1)
+            held.request.prompt_tokens + generated,
+            max(held.predicted_length - generated, 1),
         )
-        ledger = self._targets.find_ledger(target)
+        ledger = self._targets.find_ledger(held.target)
         if ledger is not None:
-            self._targets.changes.record(target)
-            ledger.reserve(
-                key, entry, started=generated_tokens > 0 or request.is_running
-            )
-        backup_ledger = self._targets.find_ledger(backup)
+            self._targets.changes.record(held.target)
+            ledger.reserve(key, entry, started=generated > 0 or held.request.is_running)
+        backup_ledger = self._targets.find_ledger(held.backup)
         if backup_ledger is not None:
-            self._targets.changes.record(backup)
+            self._targets.changes.record(held.backup)
             backup_ledger.reserve_backup(_backup_key(key), entry)
 
     def _remove_reservation(self, generation_id: str) -> None:
--- a/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
+++ b/packages/heathertack/src/heathertack/controllers/tests/test_admission.py
@@ -310,6 +310,25 @@
         group.group.expire_and_dispatch(gone, now)
         assert group.group.is_idle
 
+    # Guards against places that are given twice: a new leader's first table does not
+    # hold a target, and a later one does while runs go on there.
+    @pytest.mark.parametrize(
+        ("target", "backup", "chosen", "dropped"),
+        [
+            pytest.param("e0", "", "", [], id="run"),
+            pytest.param("e9", "e0", "e0", ["a"], id="backup"),
+        ],
+    )
+    def test_runs_keep_their_places_at_a_target_that_is_listed_again(
+        self, target: str, backup: str, chosen: str, dropped: list[str]
+    ) -> None:
+        group = Group(engines=0)
+        announced = ReservationAnnounce(request("a", prompt=700), target, 5, backup)
+        group.group.announce(announced, "entry", 0.0)
+        group.group.set_targets({"e0": TargetCapacity(1000)})
+        assert group.ask(request("b", prompt=700)) == chosen
+        assert group.dropped == dropped
+
     def test_progress_of_an_unknown_generation_is_not_accepted(self) -> None:
         assert not Group().group.record_progress("x", 3, 0.0)
 
