--- a/packages/heathertackd/src/heathertackd/forwarding/tests/test_lost_copies.py
+++ b/packages/heathertackd/src/heathertackd/forwarding/tests/test_lost_copies.py
@@ -10,6 +10,7 @@
 from heathertack.blackboard import TARGETS
 from heathertack.controllers import CopyDropped, PlacementRequested, TargetChosen
 from heathertack.messages import TableVersion
+from heathertackd.forwarding._session import ForwardingSession
 from heathertackd.forwarding.tests.forwarding_system import (
     INSTANCE_NAME,
     ForwardingSystem,
@@ -150,6 +151,23 @@
             status: int = got.status
             return status
 
+    # Guards against a second run should any other path lose the copy of a stream.
+    async def test_request_that_may_have_run_is_not_sent_without_a_copy(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def allow(*_: object) -> bool:
+            return True
+
+        monkeypatch.setattr(ForwardingSession, "_can_continue", allow)
+        script = break_off(1, 2)
+        bundle_route = route("streaming", max_attempts=1)
+        async with run_system(bundle_route, script, script, backups=True) as system:
+            StubbornOwner(system, ("t0", ""), ("t1", ""))
+            async with system.request() as got:
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await got.read()
+            assert [len(target.received) for target in system.targets] == [1, 0]
+
     # Guards against streams that end although their copy can still be used.
     async def test_stream_goes_on_while_its_copy_is_kept(self) -> None:
         script = break_off(1, 2)
